--- /dev/null
+++ b/Source/net/http_client.h
@@ -0,0 +1,77 @@
+// Pooled HTTP/1.1 client of one address on one Asio loop.
+#ifndef BALSAMHALL_NET_HTTP_CLIENT_H_
+#define BALSAMHALL_NET_HTTP_CLIENT_H_
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/result_code.h"
+#include "core/types.h"
+#include "net/http_types.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace balsamhall {
+
+struct HttpClientOptions {
+  std::size_t max_connections = 100;
+  Milliseconds connect_timeout{500};
+  std::size_t max_body_bytes = 8U << 20U;
+};
+
+// How far a failed exchange got.
+enum class HttpFailure {
+  kNotSent,    // no byte of the request was written
+  kTimeout,    // written at least in part, no whole answer in time
+  kClosed,     // connection lost after the first byte was written
+  kBadAnswer,  // answer malformed, truncated or too large
+};
+
+struct HttpError {
+  HttpFailure failure = HttpFailure::kNotSent;
+  std::string detail;
+};
+
+// Not thread-safe: all calls and callbacks run on the loop's thread. A
+// connection that timed out or failed is closed, never reused; every older
+// idle connection is closed with it, because a lost flow entry between the
+// ends silences them too.
+class HttpClient {
+ public:
+  struct Outcome {
+    std::optional<HttpResponse> response;
+    HttpError error;  // set if response is empty
+  };
+  using Callback = std::function<void(Outcome)>;
+
+  HttpClient(boost::asio::io_context& loop, std::string address,
+             HttpClientOptions options);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // Sends once. A pooled connection that the server had closed before the
+  // first byte was written is replaced by a new one; nothing else is repeated.
+  // With max_connections in use the request fails with kNotSent.
+  void Send(HttpRequest request, Milliseconds timeout, Callback done);
+
+  std::size_t open_connections() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+// Sends one request from a thread without a loop, for operator commands.
+// Blocks until the answer, the failure or the timeout. Thread-safe.
+HttpClient::Outcome SendHttpAndWait(const std::string& address,
+                                    HttpRequest request, Milliseconds timeout);
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_NET_HTTP_CLIENT_H_
--- /dev/null
+++ b/Source/net/http_server.h
@@ -0,0 +1,71 @@
+// HTTP/1.1 server with keep-alive on one Asio loop.
+#ifndef BALSAMHALL_NET_HTTP_SERVER_H_
+#define BALSAMHALL_NET_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "core/result_code.h"
+#include "core/types.h"
+#include "net/http_types.h"
+
+namespace boost::asio {
+class io_context;
+}  // namespace boost::asio
+
+namespace balsamhall {
+
+struct HttpServerOptions {
+  std::size_t max_connections = 1000;
+  std::size_t max_header_bytes = 8U << 10U;
+  std::size_t max_body_bytes = 1U << 20U;
+  Milliseconds idle_timeout{60'000};
+  // A caller that sends or reads slower than this is disconnected.
+  Milliseconds transfer_timeout{10'000};
+  bool reuse_port = false;  // several loops may listen on one address
+};
+
+// Not thread-safe: all calls and callbacks run on the loop's thread.
+class HttpServer {
+ public:
+  using Respond = std::function<void(HttpResponse)>;
+  // Respond may be called later, at most once; a second call is ignored.
+  using Handler = std::function<void(HttpRequest, Respond)>;
+  // Called with an empty body when the header is complete; a response ends the
+  // exchange before the body is read.
+  using HeadFilter =
+      std::function<std::optional<HttpResponse>(const HttpRequest&)>;
+  // Called when a request is answered by the server itself or is malformed.
+  using FaultHandler = std::function<void(ResultCode, const std::string&)>;
+
+  HttpServer(boost::asio::io_context& loop, HttpServerOptions options,
+             Handler handler);
+  ~HttpServer();
+  HttpServer(const HttpServer&) = delete;
+  HttpServer& operator=(const HttpServer&) = delete;
+
+  void set_head_filter(HeadFilter filter);
+  void set_fault_handler(FaultHandler handler);
+
+  // Listens on "ip:port". Port 0 picks a free one. Returns the bound port.
+  Result<std::uint16_t> Listen(const std::string& address);
+
+  // Accepts no more connections, answers with "Connection: close", closes idle
+  // connections, and calls done when the last exchange has ended.
+  void Drain(std::function<void()> done);
+
+  std::size_t connections() const;
+  std::size_t active_requests() const;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_NET_HTTP_SERVER_H_
