--- /dev/null
+++ b/Tests/Core/placement_test.cc
@@ -0,0 +1,122 @@
+#include "core/placement.h"
+
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <ostream>
+
+namespace balsamhall {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+// A router is named "<data centre>-<number>"; the first letter of the data
+// centre is its region.
+RouterPlace Place(const std::string& id) {
+  const std::string data_centre = id.substr(0, id.find('-'));
+  return {{id, 7}, data_centre, data_centre.substr(0, 1)};
+}
+
+std::vector<RouterPlace> Places(const std::vector<std::string>& ids) {
+  std::vector<RouterPlace> places;
+  std::ranges::transform(ids, std::back_inserter(places), Place);
+  return places;
+}
+
+schema::EndpointConfig Endpoint(const std::string& name,
+                                const std::string& data_centre) {
+  schema::EndpointConfig endpoint;
+  endpoint.set_name(name);
+  endpoint.set_data_centre(data_centre);
+  endpoint.set_region(data_centre.substr(0, 1));
+  return endpoint;
+}
+
+std::string DataCentreOf(const std::optional<RouterRef>& router) {
+  return router ? Place(router->id).data_centre : std::string("none");
+}
+
+struct PlacementCase {
+  const char* name;
+  std::vector<std::string> routers;
+  const char* primary;  // data centre
+  const char* backup;
+  bool degraded;
+};
+
+std::ostream& operator<<(std::ostream& out, const PlacementCase& test) {
+  return out << test.name;
+}
+
+// The endpoint is in data centre a1 of region a.
+const std::vector<PlacementCase> kCases = {
+    {"three data centres in the region",
+     {"a1-1", "a2-1", "a3-1", "b1-1"},
+     "a2",
+     "a3",
+     false},
+    {"two data centres: backup in the other region",
+     {"a1-1", "a2-1", "a2-2", "b1-1"},
+     "a2",
+     "b1",
+     false},
+    {"no other region: backup beside the primary",
+     {"a1-1", "a2-1", "a2-2"},
+     "a2",
+     "a2",
+     true},
+    {"backup beside the endpoint", {"a1-1", "a2-1"}, "a2", "a1", true},
+    {"primary beside the endpoint", {"a1-1", "b1-1"}, "a1", "b1", true},
+    {"primary in the other region", {"b1-1", "b1-2"}, "b1", "b1", true},
+    {"one router", {"a2-1"}, "a2", "none", true},
+    {"no router", {}, "none", "none", true},
+};
+
+// Guards against two parties of a view in one data centre while a better
+// choice is live, and against a shortage that is not reported.
+BOOST_DATA_TEST_CASE(PartiesFollowThePlacementRule, data::make(kCases), test) {
+  const schema::EndpointConfig endpoint = Endpoint("endpoint-0", "a1");
+  std::vector<RouterPlace> routers = Places(test.routers);
+  const Parties parties = ChooseParties(endpoint, routers);
+  BOOST_CHECK_EQUAL(DataCentreOf(parties.primary), test.primary);
+  BOOST_CHECK_EQUAL(DataCentreOf(parties.backup), test.backup);
+  BOOST_CHECK_EQUAL(parties.degraded, test.degraded);
+  if (parties.primary) {
+    BOOST_CHECK(ChooseBackup(endpoint, *parties.primary, routers) ==
+                parties.backup);
+  }
+  std::ranges::reverse(routers);
+  const Parties reversed = ChooseParties(endpoint, routers);
+  BOOST_CHECK(reversed.primary == parties.primary);
+  BOOST_CHECK(reversed.backup == parties.backup);
+}
+
+// Guards against a backup that is the primary's next process on the same VM.
+BOOST_AUTO_TEST_CASE(BackupIsAnotherVmThanThePrimary) {
+  const schema::EndpointConfig endpoint = Endpoint("endpoint-0", "a1");
+  const RouterRef old_process{"a2-1", 3};
+  BOOST_CHECK(!ChooseBackup(endpoint, old_process, Places({"a2-1"})));
+}
+
+// Guards against roles that pile up on few routers.
+BOOST_AUTO_TEST_CASE(RolesSpreadOverTheRouters) {
+  const auto routers =
+      Places({"a1-1", "a2-1", "a2-2", "b1-1", "b1-2", "b2-1", "b2-2"});
+  std::map<RouterId, int> primaries;
+  std::map<RouterId, int> backups;
+  for (int i = 0; i < 400; ++i) {
+    const Parties parties =
+        ChooseParties(Endpoint("endpoint-" + std::to_string(i), "a1"), routers);
+    ++primaries[parties.primary->id];
+    ++backups[parties.backup->id];
+  }
+  BOOST_CHECK_EQUAL(primaries.size(), 2U);
+  BOOST_CHECK_EQUAL(backups.size(), 4U);
+  for (const auto& [id, count] : primaries) BOOST_CHECK_GT(count, 150);
+  for (const auto& [id, count] : backups) BOOST_CHECK_GT(count, 65);
+}
+
+}  // namespace
+}  // namespace balsamhall
