Add the endpoint side of leases and fences

A lease runs from a clock reading of the endpoint that the router echoes, because a lease counted from the arrival of a delayed grant outlasts the router's estimate.

--- a/Source/core/lease_holder.h
+++ b/Source/core/lease_holder.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "core/result_code.h"
@@ -22,14 +23,16 @@
   // Applies a grant and returns the response to send. in_flight is the number
   // of running requests of the endpoint.
   schema::GrantResponse OnGrant(const schema::GrantRequest& request,
-                                SteadyTime now);
+                                SteadyTime now, std::uint32_t in_flight);
 
   // Returns kOk if work on the partition may start under this term and epoch,
   // else kNotRunStaleFence or kNotRunNoOwner. After kOk the caller reports the
-  // end of the work by OnWorkFinished.
-  ResultCode OnWorkStarted(PartitionId partition, const Fence& term,
-                           const Fence& epoch, SteadyTime now);
-  void OnWorkFinished(PartitionId partition);
+  // end of the work by OnWorkFinished. Without a partition, as for idempotent
+  // work in services that are not divided by key, only term and lease count.
+  ResultCode OnWorkStarted(std::optional<PartitionId> partition,
+                           const Fence& term, const Fence& epoch,
+                           SteadyTime now);
+  void OnWorkFinished(std::optional<PartitionId> partition);
 
   // Returns true if the endpoint owns the partition under a valid lease.
   bool Owns(PartitionId partition, SteadyTime now) const;
@@ -46,10 +49,24 @@
     EndpointId target;
   };
 
+  schema::GrantStatus Judge(const schema::GrantRequest& request) const;
+  void Apply(const schema::GrantRequest& request);
+  void AdoptView(const schema::View& view);
+  bool AddPartition(const schema::PartitionEpoch& add);
+  void ReleasePartition(const schema::ReleasedPartition& release);
+  void FinishRelease(PartitionId partition);
+  void MarkReleased(PartitionId partition, const Fence& epoch,
+                    const EndpointId& target);
+  void DropUnlisted(const schema::GrantRequest& request);
+  void FillState(schema::GrantResponse* response) const;
+
   EndpointId endpoint_;
   std::uint64_t incarnation_;
   bool check_fences_;
   schema::View view_;
+  // First term of the current primary. Work under its later terms stays valid
+  // when only the backup changes.
+  Fence oldest_valid_term_;
   SteadyTime lease_end_{};
   std::uint64_t last_sequence_ = 0;
   std::map<PartitionId, Holding> held_;
