--- /dev/null
+++ b/Source/core/endpoint_primary.cc
@@ -0,0 +1,856 @@
+#include "core/endpoint_primary.h"
+
+#include <algorithm>
+#include <ranges>
+#include <utility>
+
+#include "core/invariant.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kProbeInterval{150};
+// An unreachable backup is replaced after this time; shorter pauses are common.
+constexpr Milliseconds kBackupTimeout{2000};
+constexpr Milliseconds kBackupReplyTimeout{1000};
+constexpr Milliseconds kHandoverInterval{300};
+// Target in the record of a transfer that was refused.
+constexpr const char* kRefusedTarget = "refused";
+// A new endpoint may take longer to answer first than a serving one.
+constexpr Milliseconds kBindingTimeout{2000};
+
+}  // namespace
+
+EndpointPrimary::EndpointPrimary(ControlContext* context, Start start)
+    : context_(context),
+      service_(std::move(start.service)),
+      view_(std::move(start.view)),
+      replace_all_(start.replace_all),
+      transfers_(context, service_, view_.endpoint()),
+      last_response_(context->now()),
+      serving_since_(context->now()),
+      evict_at_(start.evict_at) {
+  for (const auto& [partition, epoch] : start.partitions) {
+    holdings_[partition] = Holding{epoch, false, false, {}, {}};
+  }
+  for (const auto& record : start.history) {
+    history_[record.partition()] = record;
+  }
+  if (evict_at_) {
+    phase_ = Phase::kEvicting;
+    lease_bound_ = *evict_at_;
+    OnDispatchStopped(DispatchStopped{endpoint(), Term(), {}});
+  }
+}
+
+EndpointPrimary EndpointPrimary::AfterFailover(
+    ControlContext* context, ServiceId service,
+    const schema::GrantResponse& response, SteadyTime lease_bound) {
+  EndpointPrimary primary(
+      context, Start{std::move(service), response.view(), {}, {}, false, {}});
+  primary.phase_ = Phase::kServing;
+  primary.lease_bound_ = lease_bound;
+  for (const auto& held : response.held()) {
+    primary.holdings_[held.partition()] =
+        Holding{FromProto(held.epoch()), true, false, {}, {}};
+  }
+  for (const PartitionId partition : response.releasing()) {
+    const auto holding = primary.holdings_.find(partition);
+    if (holding == primary.holdings_.end()) continue;
+    holding->second.releasing = true;
+    holding->second.cause = "failover";
+  }
+  for (const auto& record : response.released()) {
+    primary.history_[record.partition()] = record;
+    const Fence next = FromProto(record.epoch()).Next();
+    const bool held = primary.holdings_.contains(record.partition());
+    const bool has_target = !record.target_endpoint().empty() &&
+                            record.target_endpoint() != kRefusedTarget;
+    if (held || !has_target ||
+        context->HighestEpoch(primary.service_, record.partition()) >=
+                    next) {
+      continue;
+    }
+    // The old primary may not have finished this transfer.
+    primary.transfers_.Add(
+        record.partition(),
+        {next, record.target_endpoint(), context->now(), true, "failover"});
+  }
+  primary.last_response_sequence_ = response.sequence();
+  primary.holder_time_us_ = response.holder_time_us();
+  primary.holder_time_at_ = context->now();
+  primary.OnAccepted(response);
+  return primary;
+}
+
+Fence EndpointPrimary::HighestOwnTerm() const {
+  const Fence proposed = proposed_ ? FromProto(proposed_->term()) : Fence{};
+  return std::max({Term(), proposed, consented_through_});
+}
+
+// ---- Grants ----------------------------------------------------------------
+
+void EndpointPrimary::SendProbe() {
+  schema::GrantRequest request;
+  *request.mutable_view() = view_;
+  request.set_read_only(true);
+  request.set_sequence(context_->NextGrantSequence());
+  last_grant_ = context_->now();
+  context_->Emit(SendGrant{endpoint(), std::move(request)});
+}
+
+void EndpointPrimary::SendGrantNow() {
+  if (!holder_time_at_) {
+    SendProbe();
+    return;
+  }
+  schema::GrantRequest request;
+  *request.mutable_view() = proposed_ ? *proposed_ : view_;
+  if (proposed_) *request.mutable_previous_term() = ToProto(proposed_previous_);
+  request.set_sequence(context_->NextGrantSequence());
+  request.set_lease_ms(
+      static_cast<std::uint32_t>(context_->options().lease.count()));
+  request.set_lease_from_us(holder_time_us_);
+  request.set_release_all_unlisted(replace_all_);
+  for (const auto& [partition, holding] : holdings_) {
+    if (!holding.acked || replace_all_) {
+      auto* add = request.add_add();
+      add->set_partition(partition);
+      *add->mutable_epoch() = ToProto(holding.epoch);
+    } else if (holding.releasing && !holding.target.empty()) {
+      auto* release = request.add_release();
+      release->set_partition(partition);
+      *release->mutable_epoch() = ToProto(holding.epoch);
+      release->set_target_endpoint(holding.target);
+    }
+  }
+  for (const auto& [partition, record] : history_) {
+    const auto outgoing = transfers_.outgoing().find(partition);
+    const bool unrecorded = outgoing != transfers_.outgoing().end() &&
+                            !outgoing->second.recorded;
+    if (send_history_ || unrecorded) *request.add_history() = record;
+  }
+  lease_bound_ = std::max(lease_bound_,
+                          LeaseBound(context_->options(), *holder_time_at_));
+  in_flight_grant_ = request.sequence();
+  last_grant_ = context_->now();
+  state_changed_ = false;
+  context_->Emit(SendGrant{endpoint(), std::move(request)});
+}
+
+void EndpointPrimary::Propose(schema::View view, const Fence& previous) {
+  proposed_ = std::move(view);
+  proposed_previous_ = previous;
+  state_changed_ = true;
+}
+
+void EndpointPrimary::NotifyBackup() {
+  if (view_.backup().id().empty()) return;
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  *message.mutable_view_notice()->mutable_view() = view_;
+  context_->Emit(SendPeerMessage{view_.backup().id(), std::move(message)});
+}
+
+void EndpointPrimary::AdoptProposal() {
+  view_ = *proposed_;
+  proposed_.reset();
+  consents_.clear();
+  rearm_ = false;
+  replace_all_ = false;
+  send_history_ = false;
+  if (phase_ != Phase::kServing) {
+    phase_ = Phase::kServing;
+    serving_since_ = context_->now();
+  }
+  NotifyBackup();
+  context_->RoutingDirty();
+}
+
+bool EndpointPrimary::CheckDemotion(const schema::GrantResponse& response) {
+  const Fence theirs = FromProto(response.view().term());
+  if (SameRef(response.view().primary(), context_->self())) return false;
+  const Fence proposed = proposed_ ? FromProto(proposed_->term()) : Fence{};
+  const Fence ours = std::max(Term(), proposed);
+  if (theirs < ours) return false;
+  // The backup that took over has since given its authority back.
+  if (theirs <= consented_through_) return false;
+  // A view that was never bound yields to a higher one only.
+  if (phase_ == Phase::kBinding && theirs.offset < Term().offset) return false;
+  Demote(false);
+  return true;
+}
+
+void EndpointPrimary::OnGrantResponse(const schema::GrantResponse& response) {
+  if (demoted_ || response.sequence() <= last_response_sequence_) return;
+  last_response_sequence_ = response.sequence();
+  if (CheckDemotion(response)) return;
+  const bool was_suspected = Suspected();
+  last_response_ = context_->now();
+  holder_time_us_ = response.holder_time_us();
+  holder_time_at_ = context_->now();
+  if (was_suspected) context_->RoutingDirty();
+  const std::uint64_t incarnation = response.view().endpoint_incarnation();
+  if (phase_ == Phase::kBinding) {
+    if (proposed_ && response.status() == schema::GRANT_ACCEPTED &&
+        FromProto(response.view().term()) == FromProto(proposed_->term()) &&
+        SameRef(response.view().primary(), context_->self())) {
+      OnAccepted(response);
+    } else {
+      BindFirstView(response);
+    }
+    return;
+  }
+  if (phase_ == Phase::kEvicting) return;
+  if (phase_ == Phase::kEvicted) {
+    if (proposed_ && response.status() == schema::GRANT_ACCEPTED &&
+        FromProto(response.view().term()) == FromProto(proposed_->term())) {
+      OnAccepted(response);
+    } else {
+      ReadmitEndpoint(response);
+    }
+    return;
+  }
+  const std::uint64_t expected = proposed_ ? proposed_->endpoint_incarnation()
+                                           : view_.endpoint_incarnation();
+  if (incarnation != expected) {
+    OnRestartedEndpoint(incarnation);
+    return;
+  }
+  if (response.status() == schema::GRANT_ACCEPTED &&
+      SameRef(response.view().primary(), context_->self())) {
+    OnAccepted(response);
+  } else if (FromProto(response.view().term()) > Term()) {
+    RetakeEndpoint(response);
+  }
+}
+
+void EndpointPrimary::RetakeEndpoint(const schema::GrantResponse& response) {
+  const Fence current = FromProto(response.view().term());
+  if (proposed_ && proposed_previous_ == current) return;
+  schema::View view = proposed_ ? *proposed_ : view_;
+  *view.mutable_term() = ToProto(std::max(HighestOwnTerm(), current).Next());
+  Propose(view, current);
+}
+
+void EndpointPrimary::BindFirstView(const schema::GrantResponse& response) {
+  const Fence current = FromProto(response.view().term());
+  schema::View view = view_;
+  view.set_endpoint_incarnation(response.view().endpoint_incarnation());
+  *view.mutable_term() = ToProto(std::max(Term(), current).Next());
+  if (current.offset >= Term().offset && !current.IsZero() &&
+      current > Term() && !SameRef(response.view().primary(),
+                                   context_->self())) {
+    Demote(false);
+    return;
+  }
+  if (proposed_) {
+    // The endpoint restarted or was fenced before it accepted.
+    proposed_->set_endpoint_incarnation(view.endpoint_incarnation());
+    proposed_previous_ = current;
+    return;
+  }
+  const bool backup_silent =
+      context_->SilenceOf(FromProto(view.backup())) > kBackupTimeout;
+  if (view.backup().id().empty() || backup_silent ||
+      (asked_backup_ &&
+       context_->now() > asked_backup_at_ + kBackupReplyTimeout)) {
+    view.clear_backup();
+    Propose(view, current);
+    return;
+  }
+  if (asked_backup_) return;
+  asked_backup_ = view;
+  asked_backup_at_ = context_->now();
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  *message.mutable_backup_request()->mutable_view() = view;
+  context_->Emit(SendPeerMessage{view.backup().id(), std::move(message)});
+  proposed_previous_ = current;
+}
+
+void EndpointPrimary::ReadmitEndpoint(const schema::GrantResponse& response) {
+  // While a transfer is open, a new primary could not know its target.
+  if (!transfers_.empty()) return;
+  if (proposed_) {
+    proposed_->set_endpoint_incarnation(
+        response.view().endpoint_incarnation());
+    proposed_previous_ = FromProto(response.view().term());
+    const Fence term = FromProto(proposed_->term());
+    if (proposed_previous_ >= term) {
+      *proposed_->mutable_term() = ToProto(proposed_previous_.Next());
+    }
+    return;
+  }
+  const Fence current = FromProto(response.view().term());
+  schema::View view = view_;
+  view.set_endpoint_incarnation(response.view().endpoint_incarnation());
+  *view.mutable_term() = ToProto(std::max(HighestOwnTerm(), current).Next());
+  replace_all_ = true;
+  send_history_ = true;
+  Propose(view, current);
+  context_->Emit(ReportEvent{
+      "endpoint_returned", ResultCode::kOk, {{"endpoint", endpoint()}}});
+}
+
+void EndpointPrimary::OnRestartedEndpoint(std::uint64_t incarnation) {
+  // The old process is gone, and with it every lease; the same endpoint is
+  // granted the partitions again under new epochs.
+  schema::View view = proposed_ ? *proposed_ : view_;
+  view.set_endpoint_incarnation(incarnation);
+  *view.mutable_term() = ToProto(HighestOwnTerm().Next());
+  for (auto& [partition, holding] : holdings_) {
+    holding.epoch = holding.epoch.Next();
+    holding.acked = false;
+    holding.releasing = false;
+  }
+  send_history_ = true;
+  serving_since_ = context_->now();
+  Propose(view, Fence{});
+  context_->RoutingDirty();
+  context_->Emit(ReportEvent{"endpoint_restarted",
+                             ResultCode::kOk,
+                             {{"endpoint", endpoint()},
+                              {"incarnation", std::to_string(incarnation)}}});
+}
+
+void EndpointPrimary::OnAccepted(const schema::GrantResponse& response) {
+  if (proposed_ &&
+      FromProto(response.view().term()) == FromProto(proposed_->term())) {
+    AdoptProposal();
+  }
+  if (response.full_state()) {
+    ApplyState(response);
+  } else {
+    const auto acked = std::ranges::count_if(
+        holdings_ | std::views::values, &Holding::acked);
+    if (static_cast<std::uint32_t>(acked) != response.held_count()) {
+      state_changed_ = true;
+      SendProbe();
+    }
+  }
+}
+
+void EndpointPrimary::ApplyState(const schema::GrantResponse& response) {
+  std::map<PartitionId, Fence> held;
+  for (const auto& entry : response.held()) {
+    held[entry.partition()] = FromProto(entry.epoch());
+  }
+  bool changed = false;
+  for (const auto& record : response.released()) {
+    const PartitionId partition = record.partition();
+    const Fence epoch = FromProto(record.epoch());
+    transfers_.MarkRecorded(partition, record.target_endpoint());
+    const auto holding = holdings_.find(partition);
+    if (holding == holdings_.end() || epoch < holding->second.epoch) continue;
+    // Released as asked for, or released before under a later epoch.
+    if (epoch == holding->second.epoch && holding->second.releasing) {
+      transfers_.Add(partition,
+                     {epoch.Next(), record.target_endpoint(), context_->now(),
+                      true, holding->second.cause});
+    }
+    history_[partition] = record;
+    holdings_.erase(holding);
+    changed = true;
+  }
+  for (auto& [partition, holding] : holdings_) {
+    const auto found = held.find(partition);
+    const bool acked = found != held.end() && found->second == holding.epoch;
+    if (acked != holding.acked) {
+      holding.acked = acked;
+      changed = true;
+      state_changed_ |= !acked;
+    }
+  }
+  if (changed) {
+    context_->RoutingDirty();
+    AnswerWaitingTransfers();
+  }
+}
+
+// ---- Loss of the endpoint ---------------------------------------------------
+
+bool EndpointPrimary::Suspected() const {
+  const Milliseconds limit = phase_ == Phase::kBinding
+                                 ? kBindingTimeout
+                                 : context_->options().suspicion_timeout;
+  return context_->now() >= last_response_ + limit;
+}
+
+bool EndpointPrimary::Accepting() const {
+  return !demoted_ && phase_ == Phase::kServing && !Suspected() && !draining_;
+}
+
+void EndpointPrimary::RequestConsents() {
+  const auto require = [&](const schema::View& view) {
+    if (view.backup().id().empty()) return;
+    const Consent needed{FromProto(view.backup()), FromProto(view.term()),
+                         false};
+    const bool known = std::ranges::any_of(consents_, [&](const Consent& c) {
+      return c.router == needed.router && c.term == needed.term;
+    });
+    if (!known) consents_.push_back(needed);
+  };
+  require(view_);
+  if (proposed_) require(*proposed_);
+  if (asked_backup_) require(*asked_backup_);
+  if (context_->now() < last_consent_request_ + kProbeInterval) return;
+  last_consent_request_ = context_->now();
+  for (const Consent& consent : consents_) {
+    if (consent.given) continue;
+    schema::PeerMessage message = MakePeerMessage(context_->self());
+    auto* request = message.mutable_stand_down_request();
+    *request->mutable_view() = view_;
+    *request->mutable_view()->mutable_term() = ToProto(consent.term);
+    context_->Emit(SendPeerMessage{consent.router.id, std::move(message)});
+  }
+}
+
+bool EndpointPrimary::AllConsented() const {
+  if (context_->options().removed_guards.contains(Guard::kStandDown)) {
+    return true;
+  }
+  return std::ranges::all_of(consents_, &Consent::given);
+}
+
+void EndpointPrimary::OnStandDownReply(const RouterRef& from,
+                                       const schema::StandDownReply& reply) {
+  if (demoted_ || !reply.promised()) return;
+  const Fence through = FromProto(reply.term());
+  for (Consent& consent : consents_) {
+    if (consent.router == from && through >= consent.term) {
+      consent.given = true;
+      consented_through_ = std::max(consented_through_, through);
+    }
+  }
+}
+
+void EndpointPrimary::TickSuspicion() {
+  if (phase_ == Phase::kEvicting || phase_ == Phase::kEvicted) return;
+  if (!Suspected()) {
+    const bool asked = !consents_.empty();
+    if (asked && phase_ == Phase::kServing && !proposed_) {
+      // The promise ends with the term, so the backup can act again.
+      schema::View view = view_;
+      *view.mutable_term() = ToProto(HighestOwnTerm().Next());
+      Propose(view, Term());
+    }
+    return;
+  }
+  if (consents_.empty()) context_->RoutingDirty();
+  RequestConsents();
+  const bool lease_over =
+      context_->now() >= lease_bound_ ||
+      context_->options().removed_guards.contains(Guard::kLeaseWait);
+  if (AllConsented() && lease_over) BeginEviction();
+}
+
+bool EndpointPrimary::NeedsReset() const {
+  if (demoted_ || !Suspected() || phase_ == Phase::kEvicting ||
+      phase_ == Phase::kEvicted) {
+    return false;
+  }
+  return std::ranges::any_of(consents_, [&](const Consent& consent) {
+    return !consent.given && context_->IsGone(consent.router);
+  });
+}
+
+void EndpointPrimary::BeginEviction() {
+  phase_ = Phase::kEvicting;
+  context_->RoutingDirty();
+  context_->Emit(StopDispatch{endpoint(), Term()});
+  context_->Emit(ReportEvent{"endpoint_evicted",
+                             ResultCode::kBackendUnavailable,
+                             {{"endpoint", endpoint()},
+                              {"term", Term().ToString()},
+                              {"partitions", std::to_string(holdings_.size())}}});
+}
+
+void EndpointPrimary::OnDispatchStopped(const DispatchStopped& stopped) {
+  if (phase_ != Phase::kEvicting || demoted_) return;
+  phase_ = Phase::kEvicted;
+  proposed_.reset();
+  asked_backup_.reset();
+  for (const auto& [partition, holding] : holdings_) {
+    SteadyTime not_before = std::max(lease_bound_, context_->now());
+    const auto running = stopped.running_until.find(partition);
+    if (running != stopped.running_until.end()) {
+      not_before = std::max(not_before, running->second);
+    }
+    if (context_->options().removed_guards.contains(Guard::kLeaseWait)) {
+      not_before = context_->now();
+    }
+    transfers_.Add(partition, {holding.epoch.Next(), {}, not_before, true,
+                               "endpoint_lost"});
+    schema::ReleasedPartition record;
+    record.set_partition(partition);
+    *record.mutable_epoch() = ToProto(holding.epoch);
+    history_[partition] = record;
+  }
+  holdings_.clear();
+  for (const auto& [partition, outgoing] : transfers_.outgoing()) {
+    transfers_.MarkRecorded(partition, outgoing.target);
+  }
+  context_->RoutingDirty();
+}
+
+// ---- Backup -----------------------------------------------------------------
+
+bool EndpointPrimary::BackupUsable() const {
+  if (view_.backup().id().empty()) return false;
+  const RouterRef backup = FromProto(view_.backup());
+  return !context_->IsGone(backup) &&
+         context_->SilenceOf(backup) < kBackupTimeout;
+}
+
+void EndpointPrimary::TickBackup() {
+  if (phase_ != Phase::kServing || Suspected() || proposed_) return;
+  if (asked_backup_) {
+    if (context_->now() < asked_backup_at_ + kBackupReplyTimeout) return;
+    declined_backups_.insert(asked_backup_->backup().id());
+    asked_backup_.reset();
+  }
+  const schema::EndpointConfig* config = context_->FindEndpoint(endpoint());
+  if (config == nullptr) return;
+  std::vector<RouterPlace> candidates = context_->Candidates();
+  // A leaving backup is no candidate, but does its job until it is replaced.
+  const bool listed = std::ranges::any_of(candidates, [&](const auto& place) {
+    return SameRef(view_.backup(), place.router);
+  });
+  if (BackupUsable() && listed) return;
+  std::erase_if(candidates, [&](const RouterPlace& place) {
+    return declined_backups_.contains(place.router.id);
+  });
+  const std::optional<RouterRef> backup =
+      ChooseBackup(*config, context_->self(), candidates);
+  if (!backup) {
+    declined_backups_.clear();
+    return;
+  }
+  schema::View view = view_;
+  *view.mutable_backup() = ToProto(*backup);
+  *view.mutable_term() = ToProto(HighestOwnTerm().Next());
+  asked_backup_ = view;
+  asked_backup_at_ = context_->now();
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  *message.mutable_backup_request()->mutable_view() = view;
+  context_->Emit(SendPeerMessage{backup->id, std::move(message)});
+}
+
+void EndpointPrimary::OnBackupReply(const RouterRef& from,
+                                    const schema::BackupReply& reply) {
+  if (demoted_ || !asked_backup_ || proposed_) return;
+  if (FromProto(reply.view().term()) != FromProto(asked_backup_->term()) ||
+      !SameRef(asked_backup_->backup(), from)) {
+    return;
+  }
+  if (phase_ != Phase::kBinding && phase_ != Phase::kServing) return;
+  schema::View view = *asked_backup_;
+  asked_backup_.reset();
+  if (!reply.agreed()) {
+    declined_backups_.insert(from.id);
+    if (phase_ != Phase::kBinding) return;
+    view.clear_backup();
+  }
+  Propose(view, phase_ == Phase::kBinding ? proposed_previous_ : Term());
+}
+
+// ---- Transfers --------------------------------------------------------------
+
+void EndpointPrimary::OnTransfer(const RouterId& from,
+                                 const schema::Transfer& transfer) {
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  auto* reply = message.mutable_transfer_reply();
+  reply->set_service(transfer.service());
+  reply->set_source_endpoint(transfer.source_endpoint());
+  reply->set_target_endpoint(transfer.target_endpoint());
+  *reply->mutable_target_view() = view_;
+  const bool stale = FromProto(transfer.target_term()) != Term();
+  if (stale) {
+    reply->set_status(schema::TRANSFER_STALE_VIEW);
+    context_->Emit(SendPeerMessage{from, std::move(message)});
+    return;
+  }
+  if (!AnswerTransfer(from, transfer)) {
+    waiting_[transfer.source_endpoint()] = {from, transfer};
+  }
+}
+
+bool EndpointPrimary::AnswerTransfer(const RouterId& from,
+                                     const schema::Transfer& transfer) {
+  schema::TransferReply done;
+  done.set_service(transfer.service());
+  done.set_source_endpoint(transfer.source_endpoint());
+  done.set_target_endpoint(endpoint());
+  *done.mutable_target_view() = view_;
+  schema::TransferReply refused = done;
+  done.set_status(schema::TRANSFER_DONE);
+  refused.set_status(schema::TRANSFER_REFUSED);
+  bool all_answered = true;
+  const bool check_order =
+      !context_->options().removed_guards.contains(Guard::kEpochOrder);
+  for (const auto& entry : transfer.partitions()) {
+    const PartitionId partition = entry.partition();
+    const Fence epoch = FromProto(entry.epoch());
+    const auto holding = holdings_.find(partition);
+    if (holding != holdings_.end() && holding->second.epoch >= epoch) {
+      if (holding->second.acked) {
+        *done.add_partitions() = entry;
+      } else {
+        all_answered = false;
+      }
+      continue;
+    }
+    const auto outgoing = transfers_.outgoing().find(partition);
+    if (outgoing != transfers_.outgoing().end() &&
+        outgoing->second.epoch > epoch) {
+      all_answered = false;
+      continue;
+    }
+    const auto record = history_.find(partition);
+    if (check_order && record != history_.end() &&
+        FromProto(record->second.epoch()) >= epoch) {
+      const bool was_refused = record->second.target_endpoint() == kRefusedTarget;
+      *(was_refused ? refused : done).add_partitions() = entry;
+      continue;
+    }
+    if (check_order &&
+        context_->HighestEpoch(service_, partition) > epoch) {
+      *done.add_partitions() = entry;
+      continue;
+    }
+    if (!Accepting() || handover_) {
+      // Remembered, so that a repeat of this transfer is refused as well.
+      schema::ReleasedPartition refusal;
+      refusal.set_partition(partition);
+      *refusal.mutable_epoch() = entry.epoch();
+      refusal.set_target_endpoint(kRefusedTarget);
+      history_[partition] = refusal;
+      *refused.add_partitions() = entry;
+      continue;
+    }
+    holdings_[partition] = Holding{epoch, false, false, {}, {}};
+    state_changed_ = true;
+    all_answered = false;
+  }
+  for (auto* reply : {&done, &refused}) {
+    if (reply->partitions_size() == 0) continue;
+    schema::PeerMessage message = MakePeerMessage(context_->self());
+    *message.mutable_transfer_reply() = std::move(*reply);
+    context_->Emit(SendPeerMessage{from, std::move(message)});
+  }
+  return all_answered;
+}
+
+void EndpointPrimary::AnswerWaitingTransfers() {
+  std::erase_if(waiting_, [&](const auto& item) {
+    const auto& [from, transfer] = item.second;
+    return FromProto(transfer.target_term()) != Term() ||
+           AnswerTransfer(from, transfer);
+  });
+}
+
+void EndpointPrimary::OnTransferReply(const schema::TransferReply& reply) {
+  const TransferSender::ReplyResult result = transfers_.OnReply(reply);
+  for (const PartitionId partition : result.completed) {
+    history_[partition].set_target_endpoint(reply.target_endpoint());
+  }
+  for (const PartitionId partition : result.refused) {
+    if (phase_ != Phase::kServing || demoted_) continue;
+    // The endpoint learns the new target first, for a failover in between.
+    const auto outgoing = transfers_.outgoing().find(partition);
+    if (outgoing == transfers_.outgoing().end()) continue;
+    history_[partition].set_target_endpoint(outgoing->second.target);
+    transfers_.RequireRecord(partition);
+    state_changed_ = true;
+  }
+  if (transfers_.empty()) context_->RoutingDirty();
+}
+
+void EndpointPrimary::Release(PartitionId partition, const EndpointId& target,
+                              const std::string& cause) {
+  const auto holding = holdings_.find(partition);
+  if (holding == holdings_.end() || !holding->second.acked ||
+      holding->second.releasing || target == endpoint()) {
+    return;
+  }
+  holding->second.releasing = true;
+  holding->second.target = target;
+  holding->second.cause = cause;
+  state_changed_ = true;
+  context_->RoutingDirty();
+}
+
+void EndpointPrimary::AddAssigned(PartitionId partition, const Fence& epoch) {
+  const bool known =
+      holdings_.contains(partition) || history_.contains(partition) ||
+      transfers_.outgoing().contains(partition) ||
+      context_->HighestEpoch(service_, partition) >= epoch;
+  if (known || demoted_ || phase_ == Phase::kEvicting ||
+      phase_ == Phase::kEvicted) {
+    return;
+  }
+  holdings_[partition] = Holding{epoch, false, false, {}, {}};
+  state_changed_ = true;
+}
+
+// ---- Drain and handover -----------------------------------------------------
+
+void EndpointPrimary::SetDraining(bool draining) {
+  if (draining_ == draining) return;
+  draining_ = draining;
+  context_->RoutingDirty();
+  context_->Emit(ReportEvent{draining ? "endpoint_draining" : "endpoint_serving",
+                             ResultCode::kOk,
+                             {{"endpoint", endpoint()}}});
+}
+
+void EndpointPrimary::TickDrain() {
+  if (!draining_ || phase_ != Phase::kServing) return;
+  std::map<PartitionId, double> leaving;
+  for (const auto& [partition, holding] : holdings_) {
+    if (holding.acked && !holding.releasing) {
+      const auto load = partition_load_.find(partition);
+      leaving[partition] = load == partition_load_.end() ? 0 : load->second;
+    }
+  }
+  if (leaving.empty()) return;
+  for (const auto& [partition, target] :
+       context_->Targets(service_, leaving, endpoint())) {
+    Release(partition, target, "drain");
+  }
+}
+
+void EndpointPrimary::AssignMissingTargets() {
+  std::map<PartitionId, double> open;
+  for (const auto& [partition, holding] : holdings_) {
+    if (holding.releasing && holding.target.empty()) open[partition] = 0;
+  }
+  if (open.empty()) return;
+  for (const auto& [partition, target] :
+       context_->Targets(service_, open, endpoint())) {
+    holdings_[partition].target = target;
+    state_changed_ = true;
+  }
+}
+
+void EndpointPrimary::RequestHandover() {
+  handover_ = true;
+}
+
+void EndpointPrimary::TickHandover() {
+  if (!handover_ || phase_ != Phase::kServing || proposed_ || Suspected()) {
+    return;
+  }
+  if (!BackupUsable() || !transfers_.empty() ||
+      context_->now() < last_handover_ + kHandoverInterval) {
+    return;
+  }
+  last_handover_ = context_->now();
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  *message.mutable_handover()->mutable_view() = view_;
+  context_->Emit(SendPeerMessage{view_.backup().id(), std::move(message)});
+}
+
+void EndpointPrimary::Demote(bool keep_transfers) {
+  if (demoted_) return;
+  demoted_ = true;
+  if (!keep_transfers) transfers_.Clear();
+  holdings_.clear();
+  waiting_.clear();
+  context_->RoutingDirty();
+  context_->Emit(ReportEvent{
+      "primary_demoted",
+      ResultCode::kOk,
+      {{"endpoint", endpoint()}, {"term", Term().ToString()}}});
+}
+
+// ---- Time, load and reports -------------------------------------------------
+
+void EndpointPrimary::OnTick() {
+  if (demoted_) {
+    transfers_.Tick();
+    return;
+  }
+  TickSuspicion();
+  TickDrain();
+  AssignMissingTargets();
+  TickBackup();
+  TickHandover();
+  transfers_.Tick();
+  const Milliseconds interval = context_->options().renewal_interval;
+  const bool due = context_->now() >= last_grant_ + interval;
+  if (!due && !state_changed_) return;
+  const bool probe_only =
+      phase_ == Phase::kEvicting ||
+      (phase_ == Phase::kEvicted && !proposed_) ||
+      (phase_ == Phase::kBinding && !proposed_);
+  if (!probe_only) {
+    SendGrantNow();
+  } else if (due) {
+    SendProbe();
+  }
+}
+
+void EndpointPrimary::OnLoad(const LoadMeasured& measured) {
+  load_ = measured.load;
+  partition_load_ = measured.by_partition;
+}
+
+std::map<PartitionId, double> EndpointPrimary::MovablePartitions() const {
+  std::map<PartitionId, double> movable;
+  if (!Accepting() || proposed_ || handover_) return movable;
+  for (const auto& [partition, holding] : holdings_) {
+    if (!holding.acked || holding.releasing) continue;
+    const auto load = partition_load_.find(partition);
+    movable[partition] = load == partition_load_.end() ? 0 : load->second;
+  }
+  return movable;
+}
+
+std::size_t EndpointPrimary::moving() const {
+  return transfers_.outgoing().size() +
+         std::ranges::count_if(holdings_ | std::views::values,
+                               &Holding::releasing);
+}
+
+void EndpointPrimary::FillRouting(schema::EndpointRouting* routing) const {
+  routing->set_service(service_);
+  *routing->mutable_view() = view_;
+  routing->set_load(load_);
+  routing->set_accepting(Accepting());
+  for (const auto& [partition, holding] : holdings_) {
+    if (!holding.acked || holding.releasing || phase_ != Phase::kServing) {
+      continue;
+    }
+    auto* entry = routing->add_partitions();
+    entry->set_partition(partition);
+    *entry->mutable_epoch() = ToProto(holding.epoch);
+  }
+  const char* state = "serving";
+  if (phase_ == Phase::kBinding) state = "binding";
+  if (phase_ == Phase::kEvicting || phase_ == Phase::kEvicted) {
+    state = "evicted";
+  }
+  if (phase_ == Phase::kServing && Suspected()) state = "suspected";
+  if (phase_ == Phase::kServing && draining_) state = "draining";
+  routing->set_state(state);
+}
+
+schema::EndpointClaims EndpointPrimary::Claims() const {
+  schema::EndpointClaims claims;
+  *claims.mutable_view() = view_;
+  if (demoted_) claims.mutable_view()->clear_primary();
+  const auto add = [&](PartitionId partition, const Fence& epoch) {
+    auto* entry = claims.add_held();
+    entry->set_partition(partition);
+    *entry->mutable_epoch() = ToProto(epoch);
+  };
+  for (const auto& [partition, holding] : holdings_) {
+    add(partition, holding.epoch);
+  }
+  for (const auto& [partition, outgoing] : transfers_.outgoing()) {
+    add(partition, outgoing.epoch);
+  }
+  return claims;
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/core/endpoint_reset.h
@@ -0,0 +1,65 @@
+// Takes over an endpoint after two of its three parties were lost.
+#ifndef BALSAMHALL_CORE_ENDPOINT_RESET_H_
+#define BALSAMHALL_CORE_ENDPOINT_RESET_H_
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "core/control_context.h"
+#include "core/endpoint_primary.h"
+#include "core/types.h"
+
+namespace balsamhall {
+
+// Runs at the primary that an accepted ViewReset record names. Every router
+// that is not proved gone must answer a census; a router that answers has given
+// up the old view. Then nobody renews the endpoint's lease any more, so after
+// one lease its partitions may be granted anew. Not thread-safe.
+class EndpointReset {
+ public:
+  // lapse is the time after which no lease and no running work of the old view
+  // can remain, counted from the last answer of the census.
+  EndpointReset(ControlContext* context, ServiceId service, schema::View view,
+                std::uint64_t query, Milliseconds lapse);
+
+  void OnTick();
+  void OnLocateReply(const RouterRef& from, const schema::LocateReply& reply);
+  void OnGrantResponse(const schema::GrantResponse& response);
+  // What this router itself knows; replaces an earlier answer.
+  void SetOwnClaims(const schema::LocateReply& reply);
+
+  // Returns the start of the new primary once the reset is resolved.
+  // expected_owner tells which endpoint owned each partition as far as known.
+  std::optional<EndpointPrimary::Start> Resolve(
+      const std::vector<EndpointId>& expected_owner) const;
+
+  const schema::View& view() const { return view_; }
+  const ServiceId& service() const { return service_; }
+  Fence term() const { return FromProto(view_.term()); }
+
+ private:
+  struct Claim {
+    Fence epoch;
+    EndpointId endpoint;
+  };
+
+  bool CensusComplete() const;
+  std::map<PartitionId, Claim> HighestClaims() const;
+
+  ControlContext* context_;
+  ServiceId service_;
+  schema::View view_;
+  std::uint64_t query_;
+  Milliseconds lapse_;
+  std::map<RouterRef, schema::LocateReply> replies_;
+  std::optional<schema::LocateReply> own_;
+  std::optional<schema::GrantResponse> endpoint_state_;
+  std::optional<SteadyTime> complete_at_;
+  SteadyTime last_sent_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CORE_ENDPOINT_RESET_H_
--- a/Source/core/lease_holder.cc
+++ b/Source/core/lease_holder.cc
@@ -87,6 +87,8 @@
                                const EndpointId& target) {
   schema::ReleasedPartition& record = released_[partition];
   if (FromProto(record.epoch()) > epoch) return;
+  // Keeps the target that a router may still have to transfer to.
+  if (FromProto(record.epoch()) == epoch && target.empty()) return;
   record.set_partition(partition);
   *record.mutable_epoch() = ToProto(epoch);
   record.set_target_endpoint(target);
@@ -164,10 +166,7 @@
 void LeaseHolder::FillState(schema::GrantResponse* response) const {
   response->set_full_state(true);
   for (const auto& [partition, holding] : held_) {
-    if (holding.releasing) {
-      response->add_releasing(partition);
-      continue;
-    }
+    if (holding.releasing) response->add_releasing(partition);
     auto* held = response->add_held();
     held->set_partition(partition);
     *held->mutable_epoch() = ToProto(holding.epoch);
--- a/Source/core/ownership_controller.h
+++ b/Source/core/ownership_controller.h
@@ -5,11 +5,13 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
 #include <vector>
 
+#include "core/config_register.h"
 #include "core/ownership_events.h"
 #include "core/routing_snapshot.h"
 #include "core/types.h"
@@ -53,14 +55,32 @@
   // Precondition: now never decreases.
   OwnershipActions Handle(const OwnershipEvent& event, SteadyTime now);
 
-  // Appends a publication on behalf of an operator; the result is found by
-  // reading: see configuration().
-  OwnershipActions Publish(const schema::ConfigPublished& publication,
-                           SteadyTime now);
+  // An append on behalf of an operator, found again by its sequence.
+  struct Submission {
+    std::uint64_t sequence = 0;
+    OwnershipActions actions;
+  };
+
+  // What became of a submission: its offset and, for a publication, the
+  // verdict of every reader.
+  struct SubmissionResult {
+    std::uint64_t offset = 0;
+    ConfigVerdict verdict = ConfigVerdict::kIgnored;
+  };
+
+  // Appends a publication on behalf of an operator.
+  Submission Publish(const schema::ConfigPublished& publication,
+                     SteadyTime now);
 
   // Declares a VM lost for good on behalf of an operator.
-  OwnershipActions DeclareLost(const schema::VmDeclaredLost& declaration,
-                               SteadyTime now);
+  Submission DeclareLost(const schema::VmDeclaredLost& declaration,
+                         SteadyTime now);
+
+  // Returns the result once the submission was read back from the log.
+  std::optional<SubmissionResult> ResultOf(std::uint64_t sequence) const;
+
+  // Name under which the outer layer appends for this process.
+  const std::string& writer_id() const;
 
   // Returns the current routing state.
   std::shared_ptr<const RoutingSnapshot> routing() const;
--- a/Source/core/ownership_events.h
+++ b/Source/core/ownership_events.h
@@ -63,6 +63,7 @@
   struct Vm {
     std::string id;
     bool leaving = false;
+    bool is_router = false;
   };
   std::vector<Vm> vms;
 };
--- /dev/null
+++ b/Source/core/transfer_sender.cc
@@ -0,0 +1,129 @@
+#include "core/transfer_sender.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kRepeatInterval{150};
+
+}  // namespace
+
+TransferSender::TransferSender(ControlContext* context, ServiceId service,
+                               EndpointId source)
+    : context_(context),
+      service_(std::move(service)),
+      source_(std::move(source)) {}
+
+void TransferSender::Add(PartitionId partition, Outgoing outgoing) {
+  last_sent_.erase(outgoing.target);
+  outgoing_[partition] = std::move(outgoing);
+}
+
+void TransferSender::ChooseTargets() {
+  std::map<PartitionId, double> open;
+  for (const auto& [partition, outgoing] : outgoing_) {
+    if (outgoing.target.empty()) open[partition] = 0;
+  }
+  if (open.empty()) return;
+  for (const auto& [partition, target] :
+       context_->Targets(service_, open, source_)) {
+    Outgoing& outgoing = outgoing_[partition];
+    outgoing.target = target;
+    last_sent_.erase(target);
+  }
+}
+
+void TransferSender::Tick() {
+  ChooseTargets();
+  std::map<EndpointId, std::vector<PartitionId>> by_target;
+  for (const auto& [partition, outgoing] : outgoing_) {
+    if (outgoing.target.empty() || !outgoing.recorded ||
+        context_->now() < outgoing.not_before) {
+      continue;
+    }
+    by_target[outgoing.target].push_back(partition);
+  }
+  for (const auto& [target, partitions] : by_target) Send(target, partitions);
+}
+
+void TransferSender::Send(const EndpointId& target,
+                          const std::vector<PartitionId>& partitions) {
+  const auto last = last_sent_.find(target);
+  if (last != last_sent_.end() &&
+      context_->now() < last->second + kRepeatInterval) {
+    return;
+  }
+  const std::optional<schema::View> view = context_->KnownView(target);
+  if (!view) return;
+  last_sent_[target] = context_->now();
+  schema::PeerMessage message = MakePeerMessage(context_->self());
+  schema::Transfer* transfer = message.mutable_transfer();
+  transfer->set_service(service_);
+  transfer->set_source_endpoint(source_);
+  transfer->set_target_endpoint(target);
+  *transfer->mutable_target_term() = view->term();
+  for (const PartitionId partition : partitions) {
+    auto* entry = transfer->add_partitions();
+    entry->set_partition(partition);
+    *entry->mutable_epoch() = ToProto(outgoing_[partition].epoch);
+  }
+  context_->Emit(SendPeerMessage{view->primary().id(), std::move(message)});
+}
+
+TransferSender::ReplyResult TransferSender::OnReply(
+    const schema::TransferReply& reply) {
+  ReplyResult result;
+  if (reply.status() == schema::TRANSFER_STALE_VIEW) {
+    last_sent_.erase(reply.target_endpoint());
+    return result;
+  }
+  for (const auto& entry : reply.partitions()) {
+    const auto found = outgoing_.find(entry.partition());
+    if (found == outgoing_.end() ||
+        found->second.target != reply.target_endpoint() ||
+        found->second.epoch != FromProto(entry.epoch())) {
+      continue;
+    }
+    if (reply.status() == schema::TRANSFER_DONE) {
+      Complete(entry.partition(), reply.target_endpoint());
+      result.completed.push_back(entry.partition());
+    } else if (reply.status() == schema::TRANSFER_REFUSED) {
+      // The target refuses this epoch for good, so the next try has another.
+      found->second.epoch = found->second.epoch.Next();
+      found->second.target.clear();
+      result.refused.push_back(entry.partition());
+    }
+  }
+  ChooseTargets();
+  return result;
+}
+
+void TransferSender::Complete(PartitionId partition, const EndpointId& target) {
+  const Outgoing& outgoing = outgoing_[partition];
+  schema::MoveEvent move;
+  move.set_service(service_);
+  move.set_partition(partition);
+  move.set_from_endpoint(source_);
+  move.set_to_endpoint(target);
+  *move.mutable_epoch() = ToProto(outgoing.epoch);
+  move.set_cause(outgoing.cause);
+  context_->RecordMove(move);
+  outgoing_.erase(partition);
+}
+
+void TransferSender::MarkRecorded(PartitionId partition,
+                                  const EndpointId& target) {
+  const auto found = outgoing_.find(partition);
+  if (found != outgoing_.end() && found->second.target == target) {
+    found->second.recorded = true;
+  }
+}
+
+void TransferSender::RequireRecord(PartitionId partition) {
+  const auto found = outgoing_.find(partition);
+  if (found != outgoing_.end()) found->second.recorded = false;
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/core/transfer_sender.h
@@ -0,0 +1,64 @@
+// Partitions that left an endpoint and have no new owner yet.
+#ifndef BALSAMHALL_CORE_TRANSFER_SENDER_H_
+#define BALSAMHALL_CORE_TRANSFER_SENDER_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "core/control_context.h"
+#include "core/types.h"
+
+namespace balsamhall {
+
+// Repeats the transfer of each partition until the primary of its target has
+// answered. Not thread-safe.
+class TransferSender {
+ public:
+  struct Outgoing {
+    Fence epoch;  // epoch of the new owner
+    EndpointId target;
+    SteadyTime not_before;
+    // The endpoint knows the target, so that a new primary sends to the same.
+    bool recorded = true;
+    std::string cause;
+  };
+
+  TransferSender(ControlContext* context, ServiceId service,
+                 EndpointId source);
+
+  void Add(PartitionId partition, Outgoing outgoing);
+  void Tick();
+
+  struct ReplyResult {
+    std::vector<PartitionId> completed;  // owned by the target of the reply
+    std::vector<PartitionId> refused;    // have a new target if there is one
+  };
+
+  ReplyResult OnReply(const schema::TransferReply& reply);
+
+  // The endpoint acknowledged the record of this target.
+  void MarkRecorded(PartitionId partition, const EndpointId& target);
+  // Marks the partition as not to be sent before its target is recorded.
+  void RequireRecord(PartitionId partition);
+
+  void Clear() { outgoing_.clear(); }
+  bool empty() const { return outgoing_.empty(); }
+  const std::map<PartitionId, Outgoing>& outgoing() const { return outgoing_; }
+
+ private:
+  void ChooseTargets();
+  void Send(const EndpointId& target,
+            const std::vector<PartitionId>& partitions);
+  void Complete(PartitionId partition, const EndpointId& target);
+
+  ControlContext* context_;
+  ServiceId service_;
+  EndpointId source_;
+  std::map<PartitionId, Outgoing> outgoing_;
+  std::map<EndpointId, SteadyTime> last_sent_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CORE_TRANSFER_SENDER_H_
