--- /dev/null
+++ b/Source/config/text_file.h
@@ -0,0 +1,17 @@
+// Whole files as text.
+#ifndef BALSAMHALL_CONFIG_TEXT_FILE_H_
+#define BALSAMHALL_CONFIG_TEXT_FILE_H_
+
+#include <string>
+
+#include "core/result_code.h"
+
+namespace balsamhall {
+
+// Reads a file of at most 16 MiB. Fails with kOperatorFileMissing.
+// Thread-safe.
+Result<std::string> ReadTextFile(const std::string& path);
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CONFIG_TEXT_FILE_H_
--- /dev/null
+++ b/Source/core/config_rules.h
@@ -0,0 +1,55 @@
+// Rules of a routing configuration. Every reader of the log applies the same
+// rules, so a change to them changes which publications are accepted.
+#ifndef BALSAMHALL_CORE_CONFIG_RULES_H_
+#define BALSAMHALL_CORE_CONFIG_RULES_H_
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result_code.h"
+#include "core/types.h"
+
+namespace balsamhall {
+
+// One broken rule. The path has the form of the JSON text, for example
+// services[0].endpoints[2].address.
+struct ConfigFault {
+  std::string path;
+  std::string reason;
+  ResultCode code = ResultCode::kConfigInvalid;
+};
+
+// Returns every broken rule, in the order of the configuration; empty if it is
+// valid. Policy rules apply only if the policy is set. Thread-safe.
+std::vector<ConfigFault> CheckConfig(const schema::RoutingConfig& config);
+
+// Returns what a valid configuration may not change relative to the one in
+// force: the partitions of a service, and the service and fence checking of an
+// endpoint. Thread-safe.
+std::vector<ConfigFault> CheckConfigChange(
+    const schema::RoutingConfig& in_force, const schema::RoutingConfig& next);
+
+// Returns the policy that applies where a configuration sets none.
+// Thread-safe.
+schema::PolicyConfig DefaultPolicy();
+
+// Parses and checks the JSON text of a configuration, and fills in the default
+// policy if it has none. Fails with kConfigSyntax or kConfigInvalid; the
+// detail holds every fault. Thread-safe.
+Result<schema::RoutingConfig> ParseConfig(const std::string& json);
+
+// Returns "path: reason", joined by "; ". Thread-safe.
+std::string DescribeFaults(const std::vector<ConfigFault>& faults);
+
+// Returns true for a literal IPv4 address, or an IPv6 address in brackets,
+// followed by ":" and a port from 1 to 65535. Thread-safe.
+bool IsAddress(std::string_view text);
+
+// Returns true for 1 to 64 characters of A-Z a-z 0-9 - _ and dot, beginning
+// with a letter or digit. Such a name needs no escaping in a URL. Thread-safe.
+bool IsName(std::string_view text);
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CORE_CONFIG_RULES_H_
