net: add the HTTP server and the pooled HTTP client

The router, the stand-ins and the operator commands need HTTP without Beast in widely included headers. The client peeks at a pooled connection before use, so that one the server has closed is replaced before a byte is written, and closes all older connections after a time-out.

--- /dev/null
+++ b/Source/net/http_client.cc
@@ -0,0 +1,355 @@
+#include "net/http_client.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <unordered_set>
+
+#include "net/http_wire.h"
+
+namespace balsamhall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using http_wire::Executor;
+using http_wire::Socket;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+using Timer =
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor>;
+
+}  // namespace
+
+class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  class Connection;
+
+  Impl(asio::io_context& loop, std::string address, HttpClientOptions options)
+      : executor_(loop.get_executor()),
+        address_(std::move(address)),
+        endpoint_(http_wire::ParseAddress(address_)),
+        options_(options) {}
+
+  void Send(HttpRequest request, Milliseconds timeout, Callback done);
+  // Starts an exchange on a new connection.
+  void SendOnNew(HttpRequest request, Clock::time_point deadline,
+                 Callback done);
+  void Fail(HttpFailure failure, std::string detail, Callback done);
+  void CloseOlderThan(std::uint64_t number);
+  void Stop();
+
+  const Executor executor_;
+  const std::string address_;
+  const std::optional<tcp::endpoint> endpoint_;
+  const HttpClientOptions options_;
+  std::unordered_set<std::shared_ptr<Connection>> connections_;
+  std::vector<std::shared_ptr<Connection>> idle_;  // most recently used last
+  std::uint64_t last_number_ = 0;
+  // Connections up to this number are not reused.
+  std::uint64_t silent_up_to_ = 0;
+};
+
+class HttpClient::Impl::Connection
+    : public std::enable_shared_from_this<HttpClient::Impl::Connection> {
+ public:
+  Connection(std::shared_ptr<Impl> client, std::uint64_t number)
+      : client_(std::move(client)),
+        number_(number),
+        socket_(client_->executor_),
+        timer_(client_->executor_) {}
+
+  void Connect(HttpRequest request, Clock::time_point deadline, Callback done);
+  void Exchange(HttpRequest request, Clock::time_point deadline, Callback done);
+  // Returns true if the server has neither closed an idle connection nor sent
+  // unrequested bytes.
+  bool Usable();
+  void Close();
+  std::uint64_t number() const { return number_; }
+
+ private:
+  enum class Stage { kConnecting, kWriting, kReading, kDone };
+
+  void Begin(HttpRequest request, Clock::time_point deadline, Callback done);
+  void SetTimer(Clock::time_point deadline);
+  void OnTimeout();
+  void Write();
+  void OnWritten(error_code error, std::size_t bytes);
+  void Read();
+  void OnRead(error_code error);
+  void Finish(Outcome outcome, bool reusable);
+  void FinishFailed(HttpFailure failure, std::string detail) {
+    Finish({std::nullopt, {failure, std::move(detail)}}, false);
+  }
+
+  std::shared_ptr<Impl> client_;
+  const std::uint64_t number_;
+  Socket socket_;
+  Timer timer_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+  HttpRequest request_;
+  std::string head_;
+  Callback done_;
+  Clock::time_point deadline_;
+  std::uint64_t exchange_ = 0;
+  Stage stage_ = Stage::kDone;
+  bool pooled_ = false;
+  bool write_failed_ = false;
+};
+
+void HttpClient::Impl::Connection::Begin(HttpRequest request,
+                                         Clock::time_point deadline,
+                                         Callback done) {
+  request_ = std::move(request);
+  deadline_ = deadline;
+  done_ = std::move(done);
+  write_failed_ = false;
+  ++exchange_;
+}
+
+void HttpClient::Impl::Connection::SetTimer(Clock::time_point deadline) {
+  timer_.expires_at(deadline);
+  timer_.async_wait(
+      [self = shared_from_this(), exchange = exchange_](error_code error) {
+        if (!error && exchange == self->exchange_) self->OnTimeout();
+      });
+}
+
+void HttpClient::Impl::Connection::OnTimeout() {
+  if (stage_ == Stage::kDone) return;
+  // The timer of the connect stage may have expired just before the switch to
+  // the exchange's later deadline.
+  if (stage_ != Stage::kConnecting && Clock::now() < deadline_) return;
+  if (stage_ == Stage::kConnecting) {
+    return FinishFailed(HttpFailure::kNotSent, "connect timed out");
+  }
+  FinishFailed(HttpFailure::kTimeout, "no whole answer in time");
+}
+
+void HttpClient::Impl::Connection::Connect(HttpRequest request,
+                                           Clock::time_point deadline,
+                                           Callback done) {
+  Begin(std::move(request), deadline, std::move(done));
+  stage_ = Stage::kConnecting;
+  SetTimer(
+      std::min(deadline, Clock::now() + client_->options_.connect_timeout));
+  socket_.async_connect(
+      *client_->endpoint_, [self = shared_from_this()](error_code error) {
+        if (self->stage_ != Stage::kConnecting) return;
+        if (error) {
+          return self->FinishFailed(HttpFailure::kNotSent,
+                                    "connect: " + error.message());
+        }
+        error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->SetTimer(self->deadline_);
+        self->Write();
+      });
+}
+
+void HttpClient::Impl::Connection::Exchange(HttpRequest request,
+                                            Clock::time_point deadline,
+                                            Callback done) {
+  Begin(std::move(request), deadline, std::move(done));
+  pooled_ = true;
+  SetTimer(deadline);
+  Write();
+}
+
+bool HttpClient::Impl::Connection::Usable() {
+  char byte = 0;
+  const auto bytes =
+      ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return bytes < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+void HttpClient::Impl::Connection::Write() {
+  stage_ = Stage::kWriting;
+  head_ = http_wire::RequestHead(request_, client_->address_);
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(head_), asio::buffer(request_.body)};
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](error_code error, std::size_t bytes) {
+        self->OnWritten(error, bytes);
+      });
+}
+
+void HttpClient::Impl::Connection::OnWritten(error_code error,
+                                             std::size_t bytes) {
+  if (stage_ != Stage::kWriting) return;
+  if (error && bytes == 0) {
+    if (!pooled_) {
+      return FinishFailed(HttpFailure::kNotSent, "write: " + error.message());
+    }
+    // Nothing was written on the pooled connection: a new one is safe.
+    auto client = client_;
+    HttpRequest request = std::move(request_);
+    Callback done = std::move(done_);
+    stage_ = Stage::kDone;
+    Close();
+    return client->SendOnNew(std::move(request), deadline_, std::move(done));
+  }
+  // The server may have answered, and closed, before it read the whole
+  // request; that answer is still read.
+  write_failed_ = static_cast<bool>(error);
+  Read();
+}
+
+void HttpClient::Impl::Connection::Read() {
+  stage_ = Stage::kReading;
+  parser_.emplace();
+  parser_->body_limit(client_->options_.max_body_bytes);
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (self->stage_ == Stage::kReading) self->OnRead(error);
+      });
+}
+
+void HttpClient::Impl::Connection::OnRead(error_code error) {
+  if (error) {
+    const bool closed =
+        !parser_->got_some() && (error == http::error::end_of_stream ||
+                                 error == asio::error::connection_reset ||
+                                 error == asio::error::broken_pipe);
+    return FinishFailed(closed ? HttpFailure::kClosed : HttpFailure::kBadAnswer,
+                        "read: " + error.message());
+  }
+  if (parser_->need_eof()) {
+    // An answer that ends with the connection may have been cut off.
+    return FinishFailed(HttpFailure::kBadAnswer, "answer without a length");
+  }
+  auto& message = parser_->get();
+  const bool reusable =
+      message.keep_alive() && !write_failed_ && buffer_.size() == 0;
+  HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
+                        std::move(message.body())};
+  Finish({std::move(response), {}}, reusable);
+}
+
+void HttpClient::Impl::Connection::Finish(Outcome outcome, bool reusable) {
+  stage_ = Stage::kDone;
+  timer_.cancel();
+  const Callback done = std::exchange(done_, nullptr);
+  const auto self = shared_from_this();
+  if (!outcome.response && outcome.error.failure != HttpFailure::kNotSent) {
+    client_->CloseOlderThan(number_);
+  }
+  if (reusable && number_ > client_->silent_up_to_) {
+    client_->idle_.push_back(self);
+  } else {
+    Close();
+  }
+  done(std::move(outcome));
+}
+
+void HttpClient::Impl::Connection::Close() {
+  stage_ = Stage::kDone;
+  timer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  client_->connections_.erase(shared_from_this());
+}
+
+void HttpClient::Impl::Fail(HttpFailure failure, std::string detail,
+                            Callback done) {
+  asio::post(executor_, [failure, detail = std::move(detail),
+                         done = std::move(done)]() mutable {
+    done({std::nullopt, {failure, std::move(detail)}});
+  });
+}
+
+void HttpClient::Impl::Send(HttpRequest request, Milliseconds timeout,
+                            Callback done) {
+  const auto deadline = Clock::now() + timeout;
+  while (!idle_.empty()) {
+    const auto connection = std::move(idle_.back());
+    idle_.pop_back();
+    if (connection->Usable()) {
+      return connection->Exchange(std::move(request), deadline,
+                                  std::move(done));
+    }
+    connection->Close();
+  }
+  SendOnNew(std::move(request), deadline, std::move(done));
+}
+
+void HttpClient::Impl::SendOnNew(HttpRequest request,
+                                 Clock::time_point deadline, Callback done) {
+  if (!endpoint_) {
+    return Fail(HttpFailure::kNotSent, "not an ip:port: " + address_,
+                std::move(done));
+  }
+  if (connections_.size() >= options_.max_connections) {
+    return Fail(HttpFailure::kNotSent, "all connections in use",
+                std::move(done));
+  }
+  auto connection =
+      std::make_shared<Connection>(shared_from_this(), ++last_number_);
+  connections_.insert(connection);
+  connection->Connect(std::move(request), deadline, std::move(done));
+}
+
+void HttpClient::Impl::CloseOlderThan(std::uint64_t number) {
+  silent_up_to_ = std::max(silent_up_to_, number);
+  const auto older = [&](const auto& connection) {
+    return connection->number() <= silent_up_to_;
+  };
+  for (const auto& connection : idle_) {
+    if (older(connection)) connection->Close();
+  }
+  std::erase_if(idle_, older);
+}
+
+void HttpClient::Impl::Stop() {
+  idle_.clear();
+  const auto connections = std::exchange(connections_, {});
+  for (const auto& connection : connections) connection->Close();
+}
+
+HttpClient::HttpClient(asio::io_context& loop, std::string address,
+                       HttpClientOptions options)
+    : impl_(std::make_shared<Impl>(loop, std::move(address), options)) {}
+
+// Cancelling a timer and closing a socket do not throw on Linux.
+// NOLINTNEXTLINE(bugprone-exception-escape)
+HttpClient::~HttpClient() { impl_->Stop(); }
+
+void HttpClient::Send(HttpRequest request, Milliseconds timeout,
+                      Callback done) {
+  impl_->Send(std::move(request), timeout, std::move(done));
+}
+
+std::size_t HttpClient::open_connections() const {
+  return impl_->connections_.size();
+}
+
+HttpClient::Outcome SendHttpAndWait(const std::string& address,
+                                    HttpRequest request, Milliseconds timeout) {
+  asio::io_context loop(1);
+  HttpClientOptions options;
+  options.max_connections = 1;
+  options.connect_timeout = timeout;
+  HttpClient client(loop, address, options);
+  std::optional<HttpClient::Outcome> result;
+  client.Send(std::move(request), timeout, [&](HttpClient::Outcome outcome) {
+    result = std::move(outcome);
+    loop.stop();
+  });
+  loop.run();
+  return std::move(*result);
+}
+
+}  // namespace balsamhall
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -55,9 +55,11 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Sends once. A pooled connection that the server had closed before the
-  // first byte was written is replaced by a new one; nothing else is repeated.
-  // With max_connections in use the request fails with kNotSent.
+  // Sends once; done runs exactly once, never inside Send, and not at all if
+  // the client is destroyed first. A pooled connection that the server had
+  // closed before the first byte was written is replaced by a new one; nothing
+  // else is repeated. With max_connections in use the request fails with
+  // kNotSent.
   void Send(HttpRequest request, Milliseconds timeout, Callback done);
 
   std::size_t open_connections() const;
--- /dev/null
+++ b/Source/net/http_server.cc
@@ -0,0 +1,456 @@
+#include "net/http_server.h"
+
+#include <algorithm>
+#include <boost/asio/basic_waitable_timer.hpp>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <unordered_set>
+
+#include "net/http_wire.h"
+
+namespace balsamhall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+using http_wire::Executor;
+using http_wire::Socket;
+using tcp = asio::ip::tcp;
+using Clock = std::chrono::steady_clock;
+using Timer =
+    asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor>;
+using ReusePort =
+    asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+
+// A refused request's remaining body up to this size is read and dropped, so
+// that the connection stays usable; above it the connection is closed.
+constexpr std::size_t kMaxSkippedBody = 64U << 10U;
+// After an answer that ends the connection, input is read and dropped for this
+// long: closing with unread input would reset the connection and could lose
+// the answer.
+constexpr Milliseconds kLingerTime{500};
+// Idle connections stay open for this long after the start of a drain, so that
+// a request that is already under way is answered instead of cut off.
+constexpr Milliseconds kDrainGrace{500};
+constexpr Milliseconds kAcceptRetryDelay{100};
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+HttpResponse FaultResponse(unsigned status, ResultCode code,
+                           const std::string& detail) {
+  return {status,
+          {{"Balsamhall-Code", std::to_string(static_cast<int>(code))},
+           {"Balsamhall-Result", std::string(ResultClass(code))}},
+          detail + "\n"};
+}
+
+}  // namespace
+
+class HttpServer::Impl : public std::enable_shared_from_this<Impl> {
+ public:
+  class Session;
+
+  Impl(asio::io_context& loop, HttpServerOptions options, Handler handler)
+      : options_(options),
+        handler_(std::move(handler)),
+        acceptor_(loop.get_executor()),
+        sweep_timer_(loop.get_executor()),
+        retry_timer_(loop.get_executor()) {}
+
+  Result<std::uint16_t> Listen(const std::string& address);
+  void Drain(std::function<void()> done);
+  void Stop();
+  void Fault(ResultCode code, const std::string& detail) {
+    if (fault_handler_) fault_handler_(code, detail);
+  }
+
+  const HttpServerOptions options_;
+  Handler handler_;
+  HeadFilter head_filter_;
+  FaultHandler fault_handler_;
+  std::unordered_set<std::shared_ptr<Session>> sessions_;
+  std::size_t active_ = 0;
+  bool draining_ = false;
+
+ private:
+  void Accept();
+  void OnAccepted(Socket socket);
+  void ScheduleSweep();
+  void Sweep();
+
+  asio::basic_socket_acceptor<tcp, Executor> acceptor_;
+  Timer sweep_timer_;
+  Timer retry_timer_;
+  Clock::time_point drain_started_;
+  std::function<void()> drained_;
+};
+
+// One connection. Reads a request, waits for the handler's response, writes
+// it, and starts again. Deadlines are checked by the server's sweep, which
+// costs less than a timer per exchange.
+class HttpServer::Impl::Session
+    : public std::enable_shared_from_this<HttpServer::Impl::Session> {
+ public:
+  Session(std::shared_ptr<Impl> server, Socket socket)
+      : server_(std::move(server)), socket_(std::move(socket)) {}
+
+  void ReadHead();
+  void Respond(std::uint64_t exchange, HttpResponse response);
+  void CheckDeadline(Clock::time_point now, bool grace_over);
+  void Close();
+
+ private:
+  enum class State { kIdle, kHead, kBody, kHandling, kWriting, kLinger };
+
+  void OnHead(error_code error);
+  void ReadBody();
+  void OnRequest();
+  void OnReadError(error_code error);
+  void Refuse(unsigned status, ResultCode code, const std::string& detail);
+  void Write(HttpResponse response);
+  void OnWritten(error_code error);
+  void Linger();
+  void Enter(State state, Milliseconds limit) {
+    state_ = state;
+    deadline_ = Clock::now() + limit;
+  }
+  HttpRequest TakeHead();
+
+  std::shared_ptr<Impl> server_;
+  Socket socket_;
+  boost::beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::string head_;
+  std::string body_;
+  State state_ = State::kIdle;
+  Clock::time_point deadline_;
+  std::uint64_t exchange_ = 0;
+  bool keep_alive_ = true;
+  bool skip_body_ = false;
+  bool active_ = false;
+};
+
+void HttpServer::Impl::Session::ReadHead() {
+  parser_.emplace();
+  parser_->header_limit(
+      static_cast<std::uint32_t>(server_->options_.max_header_bytes));
+  parser_->body_limit(server_->options_.max_body_bytes);
+  Enter(State::kIdle, server_->options_.idle_timeout);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        self->OnHead(error);
+      });
+}
+
+HttpRequest HttpServer::Impl::Session::TakeHead() {
+  const auto& message = parser_->get();
+  const auto method = message.method_string();
+  const auto target = message.target();
+  return {std::string(method.data(), method.size()),
+          std::string(target.data(), target.size()),
+          http_wire::CopyHeaders(message), std::string()};
+}
+
+void HttpServer::Impl::Session::OnHead(error_code error) {
+  if (!socket_.is_open()) return;
+  if (error) return OnReadError(error);
+  keep_alive_ = parser_->get().keep_alive();
+  if (server_->head_filter_) {
+    if (auto response = server_->head_filter_(TakeHead())) {
+      skip_body_ = !parser_->is_done();
+      const auto length = parser_->content_length();
+      if (skip_body_ && (!length || *length > kMaxSkippedBody)) {
+        skip_body_ = false;
+        keep_alive_ = false;
+      }
+      return Write(std::move(*response));
+    }
+  }
+  if (parser_->is_done()) return OnRequest();
+  if (http::token_list(parser_->get()[http::field::expect])
+          .exists("100-continue")) {
+    error_code ignored;  // a lost connection shows up in the read below
+    asio::write(socket_, asio::buffer(kContinue), ignored);
+  }
+  ReadBody();
+}
+
+void HttpServer::Impl::Session::ReadBody() {
+  Enter(State::kBody, server_->options_.transfer_timeout);
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (!self->socket_.is_open()) return;
+        if (error) return self->OnReadError(error);
+        if (self->skip_body_) {
+          self->skip_body_ = false;
+          return self->ReadHead();
+        }
+        self->OnRequest();
+      });
+}
+
+void HttpServer::Impl::Session::OnRequest() {
+  HttpRequest request = TakeHead();
+  request.body = std::move(parser_->get().body());
+  state_ = State::kHandling;
+  active_ = true;
+  ++server_->active_;
+  server_->handler_(std::move(request),
+                    [self = shared_from_this(),
+                     exchange = ++exchange_](HttpResponse response) {
+                      self->Respond(exchange, std::move(response));
+                    });
+}
+
+void HttpServer::Impl::Session::Respond(std::uint64_t exchange,
+                                        HttpResponse response) {
+  if (exchange != exchange_ || state_ != State::kHandling) return;
+  if (!socket_.is_open()) return;
+  Write(std::move(response));
+}
+
+void HttpServer::Impl::Session::OnReadError(error_code error) {
+  if (error == http::error::end_of_stream ||
+      error == asio::error::operation_aborted ||
+      error == asio::error::connection_reset) {
+    return Close();
+  }
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    const bool body = error == http::error::body_limit;
+    return Refuse(body ? 413 : 431, ResultCode::kNotRunTooLarge,
+                  body ? "request body too large" : "request header too large");
+  }
+  Refuse(400, ResultCode::kNotRunBadRequest,
+         "malformed request: " + error.message());
+}
+
+void HttpServer::Impl::Session::Refuse(unsigned status, ResultCode code,
+                                       const std::string& detail) {
+  server_->Fault(code, detail);
+  keep_alive_ = false;
+  skip_body_ = false;
+  Write(FaultResponse(status, code, detail));
+}
+
+void HttpServer::Impl::Session::Write(HttpResponse response) {
+  keep_alive_ = keep_alive_ && !server_->draining_;
+  head_ = http_wire::ResponseHead(response, keep_alive_);
+  body_ = std::move(response.body);
+  Enter(State::kWriting, server_->options_.transfer_timeout);
+  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_),
+                                                     asio::buffer(body_)};
+  asio::async_write(
+      socket_, buffers,
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        self->OnWritten(error);
+      });
+}
+
+void HttpServer::Impl::Session::OnWritten(error_code error) {
+  if (active_) {
+    active_ = false;
+    --server_->active_;
+  }
+  if (!socket_.is_open()) return;
+  if (error) return Close();
+  if (!keep_alive_) return Linger();
+  if (skip_body_) return ReadBody();
+  ReadHead();
+}
+
+void HttpServer::Impl::Session::Linger() {
+  if (state_ != State::kLinger) {
+    Enter(State::kLinger, kLingerTime);
+    error_code ignored;
+    socket_.shutdown(Socket::shutdown_send, ignored);
+  }
+  buffer_.clear();
+  socket_.async_read_some(
+      buffer_.prepare(4096),
+      [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+        if (!self->socket_.is_open()) return;
+        if (error) return self->Close();
+        self->Linger();
+      });
+}
+
+void HttpServer::Impl::Session::CheckDeadline(Clock::time_point now,
+                                              bool grace_over) {
+  if (state_ == State::kIdle) {
+    if (buffer_.size() > 0) {  // a part of the header has arrived
+      Enter(State::kHead, server_->options_.transfer_timeout);
+    } else if (grace_over) {
+      return Close();
+    }
+  }
+  if (state_ == State::kHandling || now < deadline_) return;
+  switch (state_) {
+    case State::kIdle:
+      server_->Fault(ResultCode::kNotRunDeadline, "idle connection closed");
+      break;
+    case State::kHead:
+    case State::kBody:
+      server_->Fault(ResultCode::kNotRunDeadline,
+                     "request not received in time");
+      break;
+    case State::kWriting:
+      server_->Fault(ResultCode::kUnknownConnectionLost,
+                     "answer not read in time");
+      break;
+    default:
+      break;
+  }
+  Close();
+}
+
+void HttpServer::Impl::Session::Close() {
+  if (active_) {
+    active_ = false;
+    --server_->active_;
+  }
+  error_code ignored;
+  socket_.close(ignored);
+  server_->sessions_.erase(shared_from_this());
+}
+
+Result<std::uint16_t> HttpServer::Impl::Listen(const std::string& address) {
+  const auto endpoint = http_wire::ParseAddress(address);
+  if (!endpoint) {
+    return Error{ResultCode::kSettingsInvalid, "not an ip:port: " + address};
+  }
+  error_code error;
+  const auto failed = [&](const char* what) {
+    error_code ignored;
+    acceptor_.close(ignored);
+    return Error{ResultCode::kSettingsInvalid,
+                 address + ": " + what + ": " + error.message()};
+  };
+  if (acceptor_.open(endpoint->protocol(), error)) return failed("open");
+  acceptor_.set_option(asio::socket_base::reuse_address(true), error);
+  if (options_.reuse_port && acceptor_.set_option(ReusePort(true), error)) {
+    return failed("reuse port");
+  }
+  if (acceptor_.bind(*endpoint, error)) return failed("bind");
+  if (acceptor_.listen(asio::socket_base::max_listen_connections, error)) {
+    return failed("listen");
+  }
+  Accept();
+  ScheduleSweep();
+  return acceptor_.local_endpoint().port();
+}
+
+void HttpServer::Impl::Accept() {
+  acceptor_.async_accept(
+      [self = shared_from_this()](error_code error, Socket socket) {
+        if (!self->acceptor_.is_open()) return;
+        if (!error) {
+          self->OnAccepted(std::move(socket));
+          return self->Accept();
+        }
+        // For example out of file descriptors; trying again at once would spin.
+        self->Fault(ResultCode::kNotRunRouterOverloaded,
+                    "accept: " + error.message());
+        self->retry_timer_.expires_after(kAcceptRetryDelay);
+        self->retry_timer_.async_wait([self](error_code wait_error) {
+          if (!wait_error && self->acceptor_.is_open()) self->Accept();
+        });
+      });
+}
+
+void HttpServer::Impl::OnAccepted(Socket socket) {
+  error_code ignored;
+  socket.set_option(tcp::no_delay(true), ignored);
+  if (sessions_.size() >= options_.max_connections) {
+    Fault(ResultCode::kNotRunRouterOverloaded, "too many connections");
+    const HttpResponse response = FaultResponse(
+        503, ResultCode::kNotRunRouterOverloaded, "too many connections");
+    const std::string text =
+        http_wire::ResponseHead(response, false) + response.body;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text), ignored);
+    return;
+  }
+  auto session =
+      std::make_shared<Session>(shared_from_this(), std::move(socket));
+  sessions_.insert(session);
+  session->ReadHead();
+}
+
+void HttpServer::Impl::ScheduleSweep() {
+  const auto shortest =
+      std::min({options_.idle_timeout, options_.transfer_timeout, kLingerTime,
+                kDrainGrace});
+  sweep_timer_.expires_after(std::max(shortest / 4, Milliseconds(5)));
+  sweep_timer_.async_wait([self = shared_from_this()](error_code error) {
+    if (!error) self->Sweep();
+  });
+}
+
+void HttpServer::Impl::Sweep() {
+  const auto now = Clock::now();
+  const bool grace_over = draining_ && now >= drain_started_ + kDrainGrace;
+  const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(),
+                                                       sessions_.end());
+  for (const auto& session : sessions) session->CheckDeadline(now, grace_over);
+  if (draining_ && sessions_.empty()) {
+    if (const auto done = std::exchange(drained_, nullptr)) done();
+    return;
+  }
+  ScheduleSweep();
+}
+
+void HttpServer::Impl::Drain(std::function<void()> done) {
+  error_code ignored;
+  acceptor_.close(ignored);
+  draining_ = true;
+  drain_started_ = Clock::now();
+  drained_ = std::move(done);
+  ScheduleSweep();
+}
+
+void HttpServer::Impl::Stop() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  sweep_timer_.cancel();
+  retry_timer_.cancel();
+  fault_handler_ = nullptr;
+  const auto sessions = std::exchange(sessions_, {});
+  for (const auto& session : sessions) session->Close();
+}
+
+HttpServer::HttpServer(asio::io_context& loop, HttpServerOptions options,
+                       Handler handler)
+    : impl_(std::make_shared<Impl>(loop, options, std::move(handler))) {}
+
+// Cancelling a timer and closing a socket do not throw on Linux.
+// NOLINTNEXTLINE(bugprone-exception-escape)
+HttpServer::~HttpServer() { impl_->Stop(); }
+
+void HttpServer::set_head_filter(HeadFilter filter) {
+  impl_->head_filter_ = std::move(filter);
+}
+
+void HttpServer::set_fault_handler(FaultHandler handler) {
+  impl_->fault_handler_ = std::move(handler);
+}
+
+Result<std::uint16_t> HttpServer::Listen(const std::string& address) {
+  return impl_->Listen(address);
+}
+
+void HttpServer::Drain(std::function<void()> done) {
+  impl_->Drain(std::move(done));
+}
+
+std::size_t HttpServer::connections() const { return impl_->sessions_.size(); }
+
+std::size_t HttpServer::active_requests() const { return impl_->active_; }
+
+}  // namespace balsamhall
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -55,7 +55,8 @@
   Result<std::uint16_t> Listen(const std::string& address);
 
   // Accepts no more connections, answers with "Connection: close", closes idle
-  // connections, and calls done when the last exchange has ended.
+  // connections after half a second (a request may be under way on them), and
+  // calls done when the last connection is closed.
   void Drain(std::function<void()> done);
 
   std::size_t connections() const;
