Add the ownership controller

Wires membership, configuration, the log and the per-endpoint state machines into one state machine per router: bootstrap by first valid record, failover, eviction, transfers, log resets with a census, graceful shutdown.

--- a/Source/core/control_context.h
+++ b/Source/core/control_context.h
@@ -50,6 +50,7 @@
       const EndpointId& exclude) const = 0;
   virtual void RecordMove(const schema::MoveEvent& move) = 0;
   virtual void RoutingDirty() = 0;
+  virtual bool ShuttingDown() const = 0;
 };
 
 // Shorthands for messages.
--- /dev/null
+++ b/Source/core/controller_log.cc
@@ -0,0 +1,435 @@
+// Log records of OwnershipController: reading, joining, first views and owners,
+// snapshots and resets.
+#include <algorithm>
+#include <utility>
+
+#include "core/assignment_planner.h"
+#include "core/controller_impl.h"
+#include "core/rendezvous.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kReadRetryInterval{200};
+constexpr Milliseconds kAppendRepeat{3000};
+// Gives routers that start together time to hear each other.
+constexpr Milliseconds kBootstrapDelay{700};
+constexpr Milliseconds kBootstrapStep{1000};
+constexpr Milliseconds kBootstrapInterval{200};
+// The backup fails over first if it can.
+constexpr Milliseconds kResetDelay{300};
+constexpr int kSnapshotShareOfRetention = 3;
+
+}  // namespace
+
+// ---- Reading
+// ------------------------------------------------------------------
+
+void OwnershipController::Impl::On(const LogRecordRead& event) {
+  if (stopped_ || event.offset < next_offset_) return;
+  next_offset_ = event.offset + 1;
+  if (!deduplicator_.IsFirst(event.writer, event.sequence)) return;
+  if (event.writer == writer_id_) {
+    writer_.OnOwnRecordRead(event.sequence);
+    if (submissions_.erase(event.sequence) > 0) {
+      results_[event.sequence] = {event.offset, ConfigVerdict::kIgnored};
+    }
+  }
+  if (event.record.has_config_published() ||
+      event.record.has_config_snapshot()) {
+    config_copied_ = std::max(config_copied_, now_ - event.age);
+  }
+  if (event.record.has_fleet_snapshot()) {
+    fleet_copied_ = std::max(fleet_copied_, now_ - event.age);
+  }
+  ApplyRecord(event.offset, event.record);
+}
+
+void OwnershipController::Impl::ApplyRecord(std::uint64_t offset,
+                                            const schema::LogRecord& record) {
+  if (record.has_config_published()) {
+    config_.OnPublished(offset, record.config_published());
+  } else if (record.has_config_snapshot()) {
+    config_.OnSnapshot(record.config_snapshot());
+  } else if (!started_) {
+    buffered_.push_back({offset, record});
+  } else {
+    ApplyFleetRecord(offset, record);
+  }
+  for (auto& [sequence, result] : results_) {
+    if (result.offset != offset) continue;
+    result.verdict =
+        config_.VerdictOf(offset).value_or(ConfigVerdict::kIgnored);
+  }
+  if (config_.current().version() != config_version_seen_) ConfigChanged();
+}
+
+void OwnershipController::Impl::ApplyFleetRecord(
+    std::uint64_t offset, const schema::LogRecord& record) {
+  switch (record.body_case()) {
+    case schema::LogRecord::kRouterJoined: {
+      const schema::RouterJoined& join = record.router_joined();
+      if (fleet_.OnRouterJoined(offset, join) && join.id() == self_.id &&
+          join.nonce() == join_.nonce()) {
+        self_.incarnation = offset;
+        Emit(ReportEvent{"router_joined",
+                         ResultCode::kOk,
+                         {{"incarnation", std::to_string(offset)}}});
+      }
+      break;
+    }
+    case schema::LogRecord::kRouterLeft:
+      fleet_.OnRouterLeft(record.router_left());
+      break;
+    case schema::LogRecord::kViewSet:
+      OnViewsSet(fleet_.OnViewSet(offset, record.view_set()));
+      break;
+    case schema::LogRecord::kAssignment:
+      if (fleet_.OnAssignment(offset, record.assignment())) {
+        OnAssigned(record.assignment().service());
+      }
+      break;
+    case schema::LogRecord::kViewReset: {
+      const auto view = fleet_.OnViewReset(offset, record.view_reset());
+      if (view) OnResetAccepted(*view);
+      break;
+    }
+    case schema::LogRecord::kVmDeclaredLost:
+      fleet_.OnVmDeclaredLost(offset, record.vm_declared_lost());
+      break;
+    default:
+      break;
+  }
+  RoutingDirty();
+}
+
+void OwnershipController::Impl::On(const LogReadFinished& event) {
+  reading_ = false;
+  next_read_ = now_;
+  if (log_reachable_ != event.reachable) {
+    log_reachable_ = event.reachable;
+    Emit(ReportEvent{
+        event.reachable ? "log_reachable" : "log_unreachable",
+        event.reachable ? ResultCode::kOk : ResultCode::kLogUnavailable,
+        {{"next_offset", std::to_string(next_offset_)}}});
+  }
+  if (!event.reachable) {
+    next_read_ = now_ + kReadRetryInterval;
+    return;
+  }
+  retention_ = event.retention;
+  if (event.first_offset > next_offset_) {
+    // Records were lost to retention; the newest snapshots replace them.
+    next_offset_ = event.first_offset;
+    config_.OnTruncated();
+    started_ = false;
+    Emit(ReportEvent{"log_truncated",
+                     ResultCode::kLogTruncated,
+                     {{"first_offset", std::to_string(event.first_offset)}}});
+  }
+  if (next_offset_ < event.next_offset) return;
+  config_.OnReachedEnd();
+  if (config_.current().version() != config_version_seen_) ConfigChanged();
+  if (!started_) FinishStart();
+  writer_.OnReachedEnd(now_);
+}
+
+void OwnershipController::Impl::FinishStart() {
+  started_ = true;
+  const schema::FleetSnapshot* newest = nullptr;
+  for (const BufferedRecord& buffered : buffered_) {
+    if (!buffered.record.has_fleet_snapshot()) continue;
+    const schema::FleetSnapshot& snapshot = buffered.record.fleet_snapshot();
+    if (newest == nullptr || newest->as_of() < snapshot.as_of()) {
+      newest = &snapshot;
+    }
+  }
+  std::uint64_t from = 0;
+  if (newest != nullptr) {
+    fleet_.Merge(*newest);
+    for (const auto& view : newest->views()) table_.NoteView(view);
+    from = newest->as_of();
+  }
+  const std::vector<BufferedRecord> records = std::exchange(buffered_, {});
+  for (const BufferedRecord& buffered : records) {
+    if (buffered.offset >= from) {
+      ApplyFleetRecord(buffered.offset, buffered.record);
+    }
+  }
+  RoutingDirty();
+}
+
+void OwnershipController::Impl::ConfigChanged() {
+  config_version_seen_ = config_.current().version();
+  std::map<ServiceId, ServiceEntry> services;
+  endpoints_.clear();
+  for (const auto& service : config_.config().services()) {
+    ServiceEntry& entry = services[service.name()];
+    const auto known = services_.find(service.name());
+    if (known != services_.end()) entry = known->second;
+    if (entry.unowned_since == SteadyTime{}) entry.unowned_since = now_;
+    entry.config = &service;
+    for (const auto& endpoint : service.endpoints()) {
+      endpoints_[endpoint.name()] = {&service, &endpoint};
+    }
+  }
+  services_ = std::move(services);
+  RoutingDirty();
+  Emit(ReportEvent{"config_in_force",
+                   ResultCode::kOk,
+                   {{"version", std::to_string(config_version_seen_)},
+                    {"digest", config_.current().digest()}}});
+}
+
+// ---- Views and owners
+// ---------------------------------------------------------
+
+void OwnershipController::Impl::OnViewsSet(
+    const std::vector<schema::View>& views) {
+  for (const schema::View& view : views) {
+    table_.NoteView(view);
+    const auto endpoint = endpoints_.find(view.endpoint());
+    if (endpoint == endpoints_.end() || self_.incarnation == 0) continue;
+    if (SameRef(view.primary(), self_)) {
+      StartPrimary(EndpointPrimary(
+          this, {endpoint->second.first->name(), view, {}, {}, false, {}}));
+      AddAssignedPartitions(FindPrimary(view.endpoint()));
+    } else if (SameRef(view.backup(), self_)) {
+      StartBackup(view);
+    }
+  }
+}
+
+void OwnershipController::Impl::OnAssigned(const ServiceId& service) {
+  for (const auto& [endpoint, primary] : primaries_) {
+    if (primary->service() == service) AddAssignedPartitions(primary.get());
+  }
+}
+
+void OwnershipController::Impl::AddAssignedPartitions(
+    EndpointPrimary* primary) {
+  const auto* known = fleet_.AssignmentOf(primary->service());
+  if (known == nullptr) return;
+  const schema::Assignment& assignment = known->assignment;
+  const auto endpoint =
+      std::ranges::find(assignment.endpoints(), primary->view().endpoint());
+  const auto index = static_cast<std::uint32_t>(
+      std::distance(assignment.endpoints().begin(), endpoint));
+  for (int i = 0; i < assignment.owner_size(); ++i) {
+    if (assignment.owner(i) == index) {
+      primary->AddAssigned(static_cast<PartitionId>(i),
+                           Fence{known->offset, 0});
+    }
+  }
+}
+
+void OwnershipController::Impl::OnResetAccepted(const schema::View& view) {
+  const EndpointId& endpoint = view.endpoint();
+  pending_resets_.erase(endpoint);
+  table_.NoteView(view);
+  RetirePrimary(endpoint, true);
+  resets_.erase(endpoint);
+  Fence& promise = Promise(endpoint);
+  promise = std::max(promise, FromProto(view.term()));
+  const auto backup = backups_.find(endpoint);
+  if (backup != backups_.end()) backup->second.RaisePromise(promise);
+  const auto config = endpoints_.find(endpoint);
+  if (!SameRef(view.primary(), self_) || config == endpoints_.end()) return;
+  const ServiceId& service = config->second.first->name();
+  const Milliseconds lapse = std::chrono::duration_cast<Milliseconds>(
+                                 LeaseBound(options_, now_) - now_) +
+                             LongestDeadline(service);
+  resets_.emplace(endpoint,
+                  EndpointReset(this, service, view, ++locate_query_, lapse));
+  Emit(ReportEvent{
+      "view_reset",
+      ResultCode::kOk,
+      {{"endpoint", endpoint}, {"term", FromProto(view.term()).ToString()}}});
+}
+
+// ---- Appending
+// ------------------------------------------------------------------
+
+bool OwnershipController::Impl::LogUsable() const {
+  return started_ && log_reachable_;
+}
+
+void OwnershipController::Impl::Append(schema::LogRecord record) {
+  writer_.Enqueue(std::move(record));
+}
+
+void OwnershipController::Impl::TickLog() {
+  if (!reading_ && now_ >= next_read_) {
+    reading_ = true;
+    Emit(ReadLog{next_offset_});
+  }
+  if (const auto append = writer_.NextAppend(now_)) Emit(*append);
+}
+
+void OwnershipController::Impl::TickJoin() {
+  if (join_sent_ || !LogUsable() || shutdown_since_) return;
+  join_sent_ = true;
+  schema::LogRecord record;
+  *record.mutable_router_joined() = join_;
+  Append(std::move(record));
+}
+
+void OwnershipController::Impl::TickBootstrap() {
+  if (now_ < last_bootstrap_ + kBootstrapInterval) return;
+  last_bootstrap_ = now_;
+  if (!LogUsable() || self_.incarnation == 0 || shutdown_since_) return;
+  std::vector<std::string> routers;
+  for (const RouterPlace& place : Candidates()) {
+    routers.push_back(place.router.id);
+  }
+  for (auto& [name, entry] : services_) {
+    const bool missing =
+        fleet_.AssignmentOf(name) == nullptr ||
+        std::ranges::any_of(entry.config->endpoints(), [&](const auto& e) {
+          return fleet_.BaseView(e.name()) == nullptr;
+        });
+    if (!missing) {
+      entry.unowned_since = now_;
+      continue;
+    }
+    const auto order = RendezvousOrder(name, routers);
+    const auto rank = std::ranges::find(order, self_.id) - order.begin();
+    const SteadyTime due =
+        entry.unowned_since + kBootstrapDelay + rank * kBootstrapStep;
+    const bool repeat_due = entry.bootstrap_sent == SteadyTime{} ||
+                            now_ >= entry.bootstrap_sent + kAppendRepeat;
+    if (now_ < due || !repeat_due) continue;
+    entry.bootstrap_sent = now_;
+    Bootstrap(*entry.config);
+  }
+}
+
+void OwnershipController::Impl::Bootstrap(
+    const schema::ServiceConfig& service) {
+  const std::vector<RouterPlace> candidates = Candidates();
+  schema::LogRecord views;
+  for (const auto& endpoint : service.endpoints()) {
+    if (fleet_.BaseView(endpoint.name()) != nullptr) continue;
+    const Parties parties = ChooseParties(endpoint, candidates);
+    if (!parties.primary) continue;
+    schema::View* view = views.mutable_view_set()->add_views();
+    view->set_endpoint(endpoint.name());
+    *view->mutable_primary() = ToProto(*parties.primary);
+    if (parties.backup) *view->mutable_backup() = ToProto(*parties.backup);
+  }
+  if (views.has_view_set()) Append(std::move(views));
+  if (fleet_.AssignmentOf(service.name()) != nullptr) return;
+  schema::LogRecord owners;
+  schema::Assignment* assignment = owners.mutable_assignment();
+  assignment->set_service(service.name());
+  for (const auto& endpoint : service.endpoints()) {
+    assignment->add_endpoints(endpoint.name());
+  }
+  for (const std::uint32_t owner : PlanInitialAssignment(service)) {
+    assignment->add_owner(owner);
+  }
+  Append(std::move(owners));
+}
+
+bool OwnershipController::Impl::AppendIsDue(SteadyTime copied_at,
+                                            const std::string& topic) const {
+  if (retention_ <= Milliseconds{0}) return false;
+  std::vector<std::string> routers;
+  for (const RouterPlace& place : Candidates()) {
+    routers.push_back(place.router.id);
+  }
+  const auto order = RendezvousOrder(topic, routers);
+  const auto rank = std::ranges::find(order, self_.id) - order.begin();
+  // Later routers wait longer, so that usually one of them appends.
+  const Milliseconds third = retention_ / kSnapshotShareOfRetention;
+  const Milliseconds step = third / 16;
+  return now_ >= copied_at + third + rank * step;
+}
+
+void OwnershipController::Impl::TickSnapshots() {
+  if (!LogUsable() || self_.incarnation == 0 ||
+      now_ < snapshot_sent_ + kAppendRepeat) {
+    return;
+  }
+  if (config_.current().version() > 0 &&
+      AppendIsDue(config_copied_, "config")) {
+    snapshot_sent_ = now_;
+    schema::LogRecord record;
+    *record.mutable_config_snapshot() = config_.current();
+    Append(std::move(record));
+  }
+  if (AppendIsDue(fleet_copied_, "fleet")) {
+    snapshot_sent_ = now_;
+    schema::LogRecord record;
+    *record.mutable_fleet_snapshot() = fleet_.Snapshot(next_offset_);
+    Append(std::move(record));
+  }
+}
+
+// ---- Resets
+// -----------------------------------------------------------------------
+
+void OwnershipController::Impl::TickResets() {
+  for (auto& [endpoint, reset] : resets_) {
+    reset.SetOwnClaims(
+        MakeLocateReply(reset.service(), endpoint, 0, reset.term()));
+    reset.OnTick();
+    const auto& entry = services_.find(reset.service());
+    if (entry == services_.end()) continue;
+    const std::uint32_t partitions = entry->second.config->partitions();
+    std::vector<EndpointId> owners = table_.Owners(reset.service(), partitions);
+    const auto* assigned = fleet_.AssignmentOf(reset.service());
+    for (PartitionId p = 0; assigned != nullptr && p < owners.size(); ++p) {
+      if (!owners[p].empty()) continue;
+      const auto owner = assigned->assignment.owner(static_cast<int>(p));
+      owners[p] = assigned->assignment.endpoints(static_cast<int>(owner));
+    }
+    auto start = reset.Resolve(owners);
+    if (!start) continue;
+    resets_.erase(endpoint);
+    StartPrimary(EndpointPrimary(this, std::move(*start)));
+    break;  // the iterator is invalid; the next tick goes on
+  }
+  if (!LogUsable() || self_.incarnation == 0 || shutdown_since_) return;
+  for (const auto& [endpoint, config] : endpoints_) {
+    const auto view = table_.KnownView(endpoint);
+    if (!view || fleet_.BaseView(endpoint) == nullptr ||
+        resets_.contains(endpoint)) {
+      continue;
+    }
+    const EndpointPrimary* primary = FindPrimary(endpoint);
+    const bool lost = primary != nullptr ? primary->NeedsReset()
+                                         : IsGone(FromProto(view->primary()));
+    if (!lost) {
+      pending_resets_.erase(endpoint);
+      continue;
+    }
+    const auto [pending, inserted] =
+        pending_resets_.try_emplace(endpoint, PendingReset{now_, {}});
+    const bool repeat =
+        !pending->second.sent || now_ >= *pending->second.sent + kAppendRepeat;
+    if (now_ < pending->second.since + kResetDelay || !repeat) continue;
+    const Parties parties = ChooseParties(*config.second, Candidates());
+    const bool chosen =
+        primary != nullptr || (parties.primary && *parties.primary == self_);
+    if (!chosen) continue;
+    pending->second.sent = now_;
+    AppendReset(*config.second,
+                primary != nullptr ? "backup gone" : "primary gone");
+  }
+}
+
+void OwnershipController::Impl::AppendReset(
+    const schema::EndpointConfig& endpoint, const std::string& proof) {
+  schema::LogRecord record;
+  schema::ViewReset* reset = record.mutable_view_reset();
+  reset->set_endpoint(endpoint.name());
+  *reset->mutable_previous_term() = fleet_.BaseView(endpoint.name())->term();
+  *reset->mutable_primary() = ToProto(self_);
+  const auto backup = ChooseBackup(endpoint, self_, Candidates());
+  if (backup) *reset->mutable_backup() = ToProto(*backup);
+  reset->set_proof(proof);
+  Append(std::move(record));
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/core/controller_peers.cc
@@ -0,0 +1,348 @@
+// Peer messages of OwnershipController.
+#include <algorithm>
+#include <utility>
+
+#include "core/controller_impl.h"
+
+namespace balsamhall {
+namespace {
+
+// Reports that differ only in load are sent at most this often.
+constexpr Milliseconds kLoadReportInterval{1000};
+constexpr Milliseconds kRoutingRequestInterval{500};
+constexpr Milliseconds kStateRequestInterval{1000};
+
+}  // namespace
+
+void OwnershipController::Impl::SendTo(const RouterId& to,
+                                       schema::PeerMessage message) {
+  Emit(SendPeerMessage{to, std::move(message)});
+}
+
+void OwnershipController::Impl::OnPeer(const schema::PeerMessage& message) {
+  const RouterRef from = FromProto(message.sender());
+  switch (message.body_case()) {
+    case schema::PeerMessage::kHeartbeat:
+      return OnHeartbeat(message.heartbeat());
+    case schema::PeerMessage::kStandDownRequest:
+      return OnStandDownRequest(from, message.stand_down_request());
+    case schema::PeerMessage::kStandDownReply: {
+      EndpointPrimary* primary =
+          FindPrimary(message.stand_down_reply().endpoint());
+      if (primary != nullptr) {
+        primary->OnStandDownReply(from, message.stand_down_reply());
+      }
+      return;
+    }
+    case schema::PeerMessage::kBackupRequest:
+      return OnBackupRequest(from, message.backup_request());
+    case schema::PeerMessage::kBackupReply: {
+      EndpointPrimary* primary =
+          FindPrimary(message.backup_reply().view().endpoint());
+      if (primary != nullptr) {
+        primary->OnBackupReply(from, message.backup_reply());
+      }
+      return;
+    }
+    case schema::PeerMessage::kViewNotice:
+      return OnNewerView(message.view_notice().view());
+    case schema::PeerMessage::kHandover:
+      return OnHandover(message.handover());
+    case schema::PeerMessage::kTransfer:
+      return OnTransfer(from, message.transfer());
+    case schema::PeerMessage::kTransferReply:
+      return OnTransferReply(message.transfer_reply());
+    case schema::PeerMessage::kLocateRequest:
+      return OnLocateRequest(from, message.locate_request());
+    case schema::PeerMessage::kLocateReply: {
+      const auto reset = resets_.find(message.locate_reply().endpoint());
+      if (reset != resets_.end()) {
+        reset->second.OnLocateReply(from, message.locate_reply());
+      }
+      return;
+    }
+    case schema::PeerMessage::kRoutingUpdate:
+      return OnRoutingUpdate(message.routing_update());
+    case schema::PeerMessage::kRoutingRequest:
+      return OnRoutingRequest(from);
+    case schema::PeerMessage::kStateRequest:
+      return OnStateRequest(from);
+    case schema::PeerMessage::kStateReply:
+      return OnStateReply(message.state_reply());
+    default:
+      // Forwarded requests do not reach the control thread.
+      return;
+  }
+}
+
+// ---- Heartbeats and routing state -------------------------------------------
+
+void OwnershipController::Impl::TickHeartbeat() {
+  if (now_ < last_heartbeat_ + options_.heartbeat_interval) return;
+  last_heartbeat_ = now_;
+  schema::PeerMessage message = MakePeerMessage(self_);
+  schema::Heartbeat* heartbeat = message.mutable_heartbeat();
+  *heartbeat->mutable_sender() = ToProto(self_);
+  heartbeat->set_sequence(++heartbeat_sequence_);
+  heartbeat->set_config_version(config_.current().version());
+  heartbeat->set_config_digest(config_.current().digest());
+  heartbeat->set_log_offset(next_offset_);
+  heartbeat->set_routing_digest(table_.DigestOf(self_.id));
+  heartbeat->set_ready(config_.current().version() > 0);
+  heartbeat->set_leaving(shutdown_since_.has_value());
+  for (const RouterRef& router : OtherRouters()) SendTo(router.id, message);
+}
+
+void OwnershipController::Impl::OnHeartbeat(
+    const schema::Heartbeat& heartbeat) {
+  const RouterRef from = FromProto(heartbeat.sender());
+  const bool was_silent = SilenceOf(from) > Milliseconds{1000};
+  membership_.OnHeartbeat(heartbeat, now_);
+  if (was_silent) RoutingDirty();
+  if (heartbeat.routing_digest() == table_.DigestOf(from.id)) return;
+  // A lost update is repaired by asking for all of them.
+  SteadyTime& asked = routing_requested_[from.id];
+  if (now_ < asked + kRoutingRequestInterval) return;
+  asked = now_;
+  schema::PeerMessage message = MakePeerMessage(self_);
+  message.mutable_routing_request();
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::TickGossip() {
+  schema::PeerMessage message = MakePeerMessage(self_);
+  for (const auto& [endpoint, primary] : primaries_) {
+    if (primary->demoted() ||
+        primary->phase() == EndpointPrimary::Phase::kBinding) {
+      continue;
+    }
+    schema::EndpointRouting routing;
+    primary->FillRouting(&routing);
+    schema::EndpointRouting& last = published_[endpoint];
+    const bool same_term =
+        FromProto(last.view().term()) == FromProto(routing.view().term());
+    routing.set_revision(last.revision());
+    if (same_term && routing.SerializeAsString() == last.SerializeAsString()) {
+      continue;
+    }
+    schema::EndpointRouting without_load = routing;
+    without_load.set_load(last.load());
+    const bool only_load = same_term && without_load.SerializeAsString() ==
+                                            last.SerializeAsString();
+    SteadyTime& sent = published_at_[endpoint];
+    if (only_load && now_ < sent + kLoadReportInterval) continue;
+    sent = now_;
+    routing.set_revision(last.revision() + 1);
+    last = routing;
+    table_.Update(routing, now_);
+    *message.mutable_routing_update()->add_endpoints() = routing;
+    routing_dirty_ = true;
+  }
+  if (!message.has_routing_update()) return;
+  for (const RouterRef& router : OtherRouters()) SendTo(router.id, message);
+}
+
+void OwnershipController::Impl::OnRoutingUpdate(
+    const schema::RoutingUpdate& update) {
+  for (const auto& routing : update.endpoints()) {
+    if (!table_.Update(routing, now_)) continue;
+    RoutingDirty();
+    OnNewerView(routing.view());
+  }
+}
+
+void OwnershipController::Impl::OnRoutingRequest(const RouterRef& from) {
+  schema::PeerMessage message = MakePeerMessage(self_);
+  auto* update = message.mutable_routing_update();
+  for (const auto& [endpoint, primary] : primaries_) {
+    const auto found = published_.find(endpoint);
+    if (found != published_.end()) *update->add_endpoints() = found->second;
+  }
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::OnNewerView(const schema::View& view) {
+  table_.NoteView(view);
+  const EndpointId& endpoint = view.endpoint();
+  const EndpointPrimary* primary = FindPrimary(endpoint);
+  const Fence term = FromProto(view.term());
+  if (primary != nullptr) {
+    const bool replaced = !SameRef(view.primary(), self_) &&
+                          term > FromProto(primary->view().term());
+    if (!replaced) return;
+    RetirePrimary(endpoint, false);
+  }
+  if (SameRef(view.backup(), self_)) StartBackup(view);
+  const auto backup = backups_.find(endpoint);
+  if (backup != backups_.end()) backup->second.OnView(view);
+}
+
+// ---- Consent
+// ------------------------------------------------------------------
+
+Fence& OwnershipController::Impl::Promise(const EndpointId& endpoint) {
+  return promises_[endpoint];
+}
+
+void OwnershipController::Impl::OnStandDownRequest(
+    const RouterRef& from, const schema::StandDownRequest& request) {
+  const EndpointId& endpoint = request.view().endpoint();
+  const Fence term = FromProto(request.view().term());
+  schema::PeerMessage message = MakePeerMessage(self_);
+  schema::StandDownReply* reply = message.mutable_stand_down_reply();
+  reply->set_endpoint(endpoint);
+  if (FindPrimary(endpoint) == nullptr) {
+    const auto backup = backups_.find(endpoint);
+    std::optional<Fence> promised = term;
+    if (backup != backups_.end()) {
+      promised = backup->second.PromiseStandDown(term);
+    }
+    if (promised) {
+      Fence& known = Promise(endpoint);
+      known = std::max(known, *promised);
+      *reply->mutable_term() = ToProto(known);
+    }
+    reply->set_promised(promised.has_value());
+  }
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::OnBackupRequest(
+    const RouterRef& from, const schema::BackupRequest& request) {
+  const schema::View& view = request.view();
+  const bool agreed = SameRef(view.backup(), self_) && !shutdown_since_ &&
+                      FindPrimary(view.endpoint()) == nullptr &&
+                      FromProto(view.term()) > Promise(view.endpoint());
+  schema::PeerMessage message = MakePeerMessage(self_);
+  schema::BackupReply* reply = message.mutable_backup_reply();
+  *reply->mutable_view() = view;
+  reply->set_agreed(agreed);
+  if (agreed) StartBackup(view);
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::OnHandover(const schema::Handover& handover) {
+  const EndpointId& endpoint = handover.view().endpoint();
+  if (FindPrimary(endpoint) != nullptr || shutdown_since_) return;
+  StartBackup(handover.view());
+  const auto backup = backups_.find(endpoint);
+  if (backup != backups_.end()) backup->second.OnHandover(handover);
+}
+
+// ---- Transfers and census
+// -----------------------------------------------------
+
+void OwnershipController::Impl::OnTransfer(const RouterRef& from,
+                                           const schema::Transfer& transfer) {
+  EndpointPrimary* primary = FindPrimary(transfer.target_endpoint());
+  if (primary != nullptr) return primary->OnTransfer(from.id, transfer);
+  schema::PeerMessage message = MakePeerMessage(self_);
+  auto* reply = message.mutable_transfer_reply();
+  reply->set_service(transfer.service());
+  reply->set_source_endpoint(transfer.source_endpoint());
+  reply->set_target_endpoint(transfer.target_endpoint());
+  reply->set_status(schema::TRANSFER_STALE_VIEW);
+  const auto view = table_.KnownView(transfer.target_endpoint());
+  if (view) *reply->mutable_target_view() = *view;
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::OnTransferReply(
+    const schema::TransferReply& reply) {
+  if (!reply.target_view().endpoint().empty()) {
+    OnNewerView(reply.target_view());
+  }
+  EndpointPrimary* primary = FindPrimary(reply.source_endpoint());
+  if (primary != nullptr) primary->OnTransferReply(reply);
+  for (const auto& retired : retired_) {
+    if (retired->view().endpoint() == reply.source_endpoint()) {
+      retired->OnTransferReply(reply);
+    }
+  }
+}
+
+schema::LocateReply OwnershipController::Impl::MakeLocateReply(
+    const ServiceId& service, const EndpointId& endpoint, std::uint64_t query,
+    const Fence& term) const {
+  schema::LocateReply reply;
+  reply.set_service(service);
+  reply.set_endpoint(endpoint);
+  reply.set_query(query);
+  reply.set_resolving(std::ranges::any_of(resets_, [&](const auto& item) {
+    return item.second.service() == service && item.second.term() < term;
+  }));
+  for (const auto& [id, primary] : primaries_) {
+    if (primary->service() == service) {
+      *reply.add_claims() = primary->Claims();
+    }
+  }
+  for (const auto& primary : retired_) {
+    if (primary->service() == service) {
+      *reply.add_claims() = primary->Claims();
+    }
+  }
+  return reply;
+}
+
+void OwnershipController::Impl::OnLocateRequest(
+    const RouterRef& from, const schema::LocateRequest& request) {
+  const Fence term = FromProto(request.term());
+  // The reset record must be applied here first: it ends the old roles.
+  if (!started_ || next_offset_ <= term.offset) return;
+  Fence& promise = Promise(request.endpoint());
+  promise = std::max(promise, term);
+  const auto backup = backups_.find(request.endpoint());
+  if (backup != backups_.end()) backup->second.RaisePromise(term);
+  schema::PeerMessage message = MakePeerMessage(self_);
+  *message.mutable_locate_reply() = MakeLocateReply(
+      request.service(), request.endpoint(), request.query(), term);
+  SendTo(from.id, std::move(message));
+}
+
+// ---- State for routers that start without the log
+// ------------------------------
+
+void OwnershipController::Impl::TickPeerState() {
+  if (now_ < last_state_request_ + kStateRequestInterval) return;
+  RouterId source;
+  if (!log_reachable_) {
+    for (const auto& [id, heard] : membership_.all()) {
+      if (heard.heartbeat.config_version() > config_.current().version()) {
+        source = id;
+      }
+    }
+    if (config_.current().version() == 0 && source.empty() &&
+        !listed_routers_.empty()) {
+      const auto skip =
+          static_cast<std::ptrdiff_t>(random_() % listed_routers_.size());
+      source = *std::next(listed_routers_.begin(), skip);
+    }
+  }
+  if (source.empty()) return;
+  last_state_request_ = now_;
+  schema::PeerMessage message = MakePeerMessage(self_);
+  message.mutable_state_request();
+  SendTo(source, std::move(message));
+}
+
+void OwnershipController::Impl::OnStateRequest(const RouterRef& from) {
+  if (config_.current().version() == 0) return;
+  schema::PeerMessage message = MakePeerMessage(self_);
+  auto* reply = message.mutable_state_reply();
+  reply->set_log_offset(next_offset_);
+  *reply->mutable_fleet() = fleet_.Snapshot(next_offset_);
+  *reply->mutable_config() = config_.current();
+  reply->set_digest(config_.current().digest());
+  SendTo(from.id, std::move(message));
+}
+
+void OwnershipController::Impl::OnStateReply(const schema::StateReply& reply) {
+  // While the log answers, it alone decides.
+  if (log_reachable_) return;
+  fleet_.Merge(reply.fleet());
+  if (config_.OnPeerSnapshot(reply.config())) ConfigChanged();
+  for (const auto& view : reply.fleet().views()) table_.NoteView(view);
+  RoutingDirty();
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/core/controller_roles.cc
@@ -0,0 +1,151 @@
+// Roles of OwnershipController: primaries, backups, placement and shutdown.
+#include <algorithm>
+#include <utility>
+
+#include "core/controller_impl.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kHealthInterval{500};
+constexpr Milliseconds kPlacementInterval{2000};
+// A backup without a replacement does not hold up a shutdown for longer.
+constexpr Milliseconds kShutdownBackupWait{3000};
+constexpr Milliseconds kShutdownLimit{20000};
+
+}  // namespace
+
+EndpointPrimary* OwnershipController::Impl::FindPrimary(
+    const EndpointId& endpoint) {
+  const auto found = primaries_.find(endpoint);
+  return found == primaries_.end() ? nullptr : found->second.get();
+}
+
+void OwnershipController::Impl::StartPrimary(EndpointPrimary primary) {
+  const EndpointId endpoint = primary.view().endpoint();
+  auto& slot = primaries_[endpoint];
+  slot = std::make_unique<EndpointPrimary>(std::move(primary));
+  if (shutdown_since_) slot->RequestHandover();
+  backups_.erase(endpoint);
+  RoutingDirty();
+}
+
+void OwnershipController::Impl::StartBackup(const schema::View& view) {
+  const EndpointId& endpoint = view.endpoint();
+  if (FindPrimary(endpoint) != nullptr || resets_.contains(endpoint)) return;
+  const auto [backup, inserted] =
+      backups_.try_emplace(endpoint, EndpointBackup(this, view));
+  if (inserted) backup->second.RaisePromise(Promise(endpoint));
+  backup->second.OnView(view);
+}
+
+void OwnershipController::Impl::RetirePrimary(const EndpointId& endpoint,
+                                              bool keep_transfers) {
+  const auto found = primaries_.find(endpoint);
+  if (found == primaries_.end()) return;
+  std::unique_ptr<EndpointPrimary> primary = std::move(found->second);
+  primaries_.erase(found);
+  primary->Demote(keep_transfers);
+  if (!primary->finished()) retired_.push_back(std::move(primary));
+  RoutingDirty();
+}
+
+void OwnershipController::Impl::FailOver(const schema::GrantResponse& response,
+                                         SteadyTime lease_bound) {
+  const EndpointId endpoint = response.view().endpoint();
+  const auto config = endpoints_.find(endpoint);
+  if (config == endpoints_.end()) return;
+  Emit(ReportEvent{"failover",
+                   ResultCode::kOk,
+                   {{"endpoint", endpoint},
+                    {"term", FromProto(response.view().term()).ToString()},
+                    {"partitions", std::to_string(response.held_count())}}});
+  StartPrimary(EndpointPrimary::AfterFailover(
+      this, config->second.first->name(), response, lease_bound));
+  AddAssignedPartitions(FindPrimary(endpoint));
+}
+
+void OwnershipController::Impl::TickRoles() {
+  const bool probe_health = now_ >= last_health_ + kHealthInterval;
+  if (probe_health) last_health_ = now_;
+  std::vector<EndpointId> demoted;
+  for (const auto& [endpoint, primary] : primaries_) {
+    primary->OnTick();
+    if (primary->demoted()) demoted.push_back(endpoint);
+    if (probe_health) Emit(SendHealthProbe{endpoint});
+  }
+  for (const EndpointId& endpoint : demoted) RetirePrimary(endpoint, false);
+  for (const auto& primary : retired_) primary->OnTick();
+  std::erase_if(retired_,
+                [](const auto& primary) { return primary->finished(); });
+  for (auto& [endpoint, backup] : backups_) backup.OnTick();
+  std::erase_if(backups_,
+                [](const auto& item) { return item.second.retired(); });
+}
+
+void OwnershipController::Impl::TickDrain() {
+  for (const auto& [endpoint, primary] : primaries_) {
+    const schema::EndpointConfig* config = FindEndpoint(endpoint);
+    const auto health = health_.find(endpoint);
+    bool draining = config == nullptr || drain_refused_.contains(endpoint);
+    draining |= health != health_.end() && health->second.draining();
+    if (config != nullptr) {
+      const std::string& vm =
+          config->vm().empty() ? config->name() : config->vm();
+      draining |= fleet_.IsVmLeaving(vm);
+    }
+    primary->SetDraining(draining);
+  }
+}
+
+void OwnershipController::Impl::TickPlacement() {
+  if (now_ < last_placement_ + kPlacementInterval || shutdown_since_) return;
+  last_placement_ = now_;
+  // One endpoint at a time: each change empties a memory of request ids.
+  for (const auto& [endpoint, primary] : primaries_) {
+    const schema::EndpointConfig* config = FindEndpoint(endpoint);
+    if (config == nullptr) continue;
+    const bool misplaced = join_.region() != config->region() ||
+                           join_.data_centre() == config->data_centre();
+    if (!misplaced) continue;
+    const Parties parties = ChooseParties(*config, Candidates());
+    if (!parties.primary || *parties.primary == self_) continue;
+    const auto candidates = Candidates();
+    const auto better = std::ranges::find(
+        candidates, *parties.primary,
+        [](const RouterPlace& place) { return place.router; });
+    const bool improves = better != candidates.end() &&
+                          better->region == config->region() &&
+                          (join_.region() != config->region() ||
+                           better->data_centre != config->data_centre());
+    if (improves && primary->MoveTo(*parties.primary)) return;
+  }
+}
+
+void OwnershipController::Impl::TickRebalance() {}
+
+void OwnershipController::Impl::TickShutdown() {
+  if (!shutdown_since_ || stopped_) return;
+  const bool primaries_done = std::ranges::all_of(
+      primaries_, [](const auto& item) { return item.second->idle_evicted(); });
+  const bool backups_done =
+      backups_.empty() || now_ >= *shutdown_since_ + kShutdownBackupWait;
+  const bool roles_done = primaries_done && backups_done && retired_.empty();
+  const bool limit = now_ >= *shutdown_since_ + kShutdownLimit;
+  if (!left_sent_ && (roles_done || limit)) {
+    left_sent_ = true;
+    if (roles_done && self_.incarnation != 0 && LogUsable()) {
+      schema::LogRecord record;
+      *record.mutable_router_left()->mutable_router() = ToProto(self_);
+      Append(std::move(record));
+    }
+  }
+  if (!left_sent_) return;
+  // Without the log, the list or a later join proves that this process is gone.
+  if (writer_.idle() || !LogUsable() || limit) {
+    stopped_ = true;
+    Emit(ShutdownReady{});
+  }
+}
+
+}  // namespace balsamhall
--- a/Source/core/endpoint_primary.h
+++ b/Source/core/endpoint_primary.h
@@ -65,6 +65,9 @@
                const std::string& cause);
   // Asks the backup to take over, for a shutdown or a better placement.
   void RequestHandover();
+  // Makes another router the backup and then hands over to it. Returns false if
+  // the endpoint's state does not allow it now.
+  bool MoveTo(const RouterRef& router);
   // Another router holds a higher term: stops everything but transfers that
   // were already sent under a log reset.
   void Demote(bool keep_transfers);
@@ -173,6 +176,8 @@
   SteadyTime asked_backup_at_;
   std::set<RouterId> declined_backups_;
   SteadyTime last_handover_;
+  std::optional<RouterRef> move_to_;
+  SteadyTime move_started_;
   std::optional<SteadyTime> evict_at_;
 };
 
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -116,7 +116,10 @@
     schema::ReleasedPartition record;
     record.set_partition(partition);
     *record.mutable_epoch() = ToProto(epoch);
-    record.set_target_endpoint(claim->second.endpoint);
+    // A claim of the endpoint's former primary names no target yet.
+    if (claim->second.endpoint != view_.endpoint()) {
+      record.set_target_endpoint(claim->second.endpoint);
+    }
     start.history.push_back(record);
   }
   for (PartitionId partition = 0; partition < expected_owner.size();
