Add the seeded random test of the ownership core

Nothing yet attacked leases, views, transfers and configurations with combined faults.

balsamhall-random-test drives routers (OwnershipController) and endpoints (LeaseHolder) on virtual time through a fake log, a lagging list, a faulty network and skewed clocks. After each step it checks one owner per partition, growing epochs, acknowledged transfers, configuration versions against a reader of the whole log, and at-most-once execution.

--- /dev/null
+++ b/Tests/Ownership/fake_log.h
@@ -0,0 +1,70 @@
+// The platform's append-only log and list of VMs.
+#ifndef BALSAMHALL_TESTS_OWNERSHIP_FAKE_LOG_H_
+#define BALSAMHALL_TESTS_OWNERSHIP_FAKE_LOG_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Ownership/simulation.h"
+#include "core/ownership_events.h"
+
+namespace balsamhall::ownership_test {
+
+class FakeLog {
+ public:
+  struct Entry {
+    std::string writer;
+    std::uint64_t sequence = 0;
+    RealTime at{0};
+    schema::LogRecord record;
+  };
+
+  FakeLog(Simulation* simulation, Milliseconds retention)
+      : simulation_(simulation), retention_(retention) {}
+
+  std::uint64_t Append(const std::string& writer, std::uint64_t sequence,
+                       const schema::LogRecord& record);
+  // Retained records from the offset on, and the end of the read.
+  std::vector<LogRecordRead> Read(std::uint64_t from) const;
+  LogReadFinished Finish() const;
+
+  // All records since the start; offset 1 is the first.
+  const std::vector<Entry>& history() const { return history_; }
+  bool up() const { return up_; }
+  void SetUp(bool up) { up_ = up; }
+  // Share of appends that take effect, but whose answer is lost.
+  double lost_answers = 0;
+
+ private:
+  std::uint64_t FirstOffset() const;
+
+  Simulation* simulation_;
+  Milliseconds retention_;
+  bool up_ = true;
+  std::vector<Entry> history_;
+};
+
+// Shows the state of each VM with a lag, in order.
+class FakeVmList {
+ public:
+  explicit FakeVmList(Simulation* simulation) : simulation_(simulation) {}
+
+  // Returns when readers will see the change.
+  RealTime Set(const std::string& vm, bool present, bool is_router);
+  VmListRead Read() const;
+  bool up() const { return up_; }
+  void SetUp(bool up) { up_ = up; }
+
+ private:
+  Simulation* simulation_;
+  bool up_ = true;
+  std::map<std::string, RealTime> last_change_;
+  std::map<std::string, bool> visible_;  // VM and whether it is a router
+};
+
+}  // namespace balsamhall::ownership_test
+
+#endif  // BALSAMHALL_TESTS_OWNERSHIP_FAKE_LOG_H_
--- /dev/null
+++ b/Tests/Ownership/fault_plan.h
@@ -0,0 +1,46 @@
+// Faults of a run and their end.
+#ifndef BALSAMHALL_TESTS_OWNERSHIP_FAULT_PLAN_H_
+#define BALSAMHALL_TESTS_OWNERSHIP_FAULT_PLAN_H_
+
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "Ownership/fleet.h"
+
+namespace balsamhall::ownership_test {
+
+class FaultPlan {
+ public:
+  explicit FaultPlan(Fleet* fleet) : fleet_(fleet) {}
+
+  // Starts one random fault; most end by themselves.
+  void InjectRandom();
+  // Ends all faults and starts what is stopped, VMs once the list showed their
+  // loss: a name is given to a new VM only then.
+  void HealAll();
+
+  // Single faults; they last until HealAll.
+  void Isolate(const std::string& name);
+  void LoseDataCentre(const std::string& data_centre);
+
+ private:
+  using Links = std::vector<std::pair<std::string, std::string>>;
+
+  template <typename ProcessType>
+  void FaultOf(ProcessType* process);
+  template <typename ProcessType>
+  void Restart(ProcessType* process, RealTime delay);
+  void Partition();
+  void Cut(const Links& links);
+  void LogFault();
+  void Publish();
+  std::vector<std::string> Names() const;
+
+  Fleet* fleet_;
+};
+
+}  // namespace balsamhall::ownership_test
+
+#endif  // BALSAMHALL_TESTS_OWNERSHIP_FAULT_PLAN_H_
--- /dev/null
+++ b/Tests/Ownership/request_traffic.h
@@ -0,0 +1,95 @@
+// Non-idempotent requests with repeats, and a model of the dispatch and of the
+// memory of request ids at the primary router.
+#ifndef BALSAMHALL_TESTS_OWNERSHIP_REQUEST_TRAFFIC_H_
+#define BALSAMHALL_TESTS_OWNERSHIP_REQUEST_TRAFFIC_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "Ownership/fleet.h"
+#include "Ownership/ownership_checks.h"
+
+namespace balsamhall::ownership_test {
+
+class RequestTraffic {
+ public:
+  RequestTraffic(Fleet* fleet, bool check_memory_start)
+      : fleet_(fleet), check_memory_start_(check_memory_start) {}
+
+  // Issues a request every 25 ms from now on.
+  void Start();
+
+  void OnRoutingChanged(RouterProcess* router);
+  void OnRouterStopped(RouterProcess* router);
+  std::map<PartitionId, SteadyTime> StopDispatch(RouterProcess* router,
+                                                 const EndpointId& endpoint,
+                                                 const Fence& term);
+  // Load of the endpoints that the router dispatches to.
+  std::vector<LoadMeasured> Loads(const RouterProcess& router);
+
+  std::uint64_t answered() const { return answered_; }
+
+ private:
+  struct Request {
+    std::string id;
+    PartitionKey key;
+    WallTime first_issued;
+    int attempts = 0;
+    bool settled = false;
+    bool executed = false;
+    std::set<int> executed_attempts;
+    std::set<int> not_run_attempts;
+  };
+  using RequestPtr = std::shared_ptr<Request>;
+
+  struct Attempt {
+    RequestPtr request;
+    int number = 0;
+    RealTime until{0};
+  };
+
+  // State of one primary for one endpoint.
+  struct Dispatch {
+    std::map<PartitionId, WallTime> memory_start;
+    std::map<std::string, std::optional<ResultCode>> ids;  // unset: running
+    std::map<PartitionId, SteadyTime> running_until;
+    std::optional<Fence> stopped;
+  };
+  struct Running {
+    const EndpointProcess* endpoint;
+    std::uint64_t generation;
+    RealTime until;
+  };
+  using Reply = std::function<void(ResultCode)>;
+
+  void Issue();
+  void Try(const RequestPtr& request);
+  void Enter(RouterProcess* entry, const Attempt& attempt);
+  void Submit(RouterProcess* primary, const EndpointId& id,
+              const Attempt& attempt, const Reply& reply);
+  void SendWork(RouterProcess* primary, EndpointProcess* endpoint,
+                const Fence& term, const Fence& epoch, const Attempt& attempt,
+                const Reply& settle);
+  ResultCode Execute(EndpointProcess* endpoint, const Fence& term,
+                     const Fence& epoch, const Attempt& attempt,
+                     const Reply& finished);
+  void CheckExecution(const EndpointProcess& endpoint, const Attempt& attempt);
+  void Answer(const Attempt& attempt, ResultCode code);
+
+  Fleet* fleet_;
+  bool check_memory_start_;
+  std::uint64_t issued_ = 0;
+  std::uint64_t answered_ = 0;
+  std::map<RouterId, std::map<EndpointId, Dispatch>> dispatch_;
+  std::map<PartitionKey, std::vector<Running>> running_;
+  std::map<PartitionKey, double> load_;
+};
+
+}  // namespace balsamhall::ownership_test
+
+#endif  // BALSAMHALL_TESTS_OWNERSHIP_REQUEST_TRAFFIC_H_
--- /dev/null
+++ b/Tests/Ownership/simulation.cc
@@ -0,0 +1,48 @@
+#include "Ownership/simulation.h"
+
+#include <spdlog/fmt/fmt.h>
+
+namespace balsamhall::ownership_test {
+namespace {
+
+constexpr std::size_t kTraceLength = 400;
+
+}  // namespace
+
+void Simulation::After(RealTime delay, Step step) {
+  queue_.emplace(std::pair(now_ + delay, next_++), std::move(step));
+}
+
+void Simulation::RunUntil(RealTime end) {
+  while (!queue_.empty() && queue_.begin()->first.first <= end) {
+    auto node = queue_.extract(queue_.begin());
+    now_ = node.key().first;
+    ++steps_;
+    node.mapped()();
+  }
+  now_ = end;
+}
+
+std::int64_t Simulation::Uniform(std::int64_t low, std::int64_t high) {
+  return std::uniform_int_distribution<std::int64_t>(low, high)(random_);
+}
+
+RealTime Simulation::Between(Milliseconds low, Milliseconds high) {
+  return RealTime(Uniform(RealTime(low).count(), RealTime(high).count()));
+}
+
+bool Simulation::Chance(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+}
+
+void Simulation::Trace(const std::string& event) {
+  trace_.push_back(fmt::format(
+      "{:10.3f} ms {}", static_cast<double>(now_.count()) / 1000, event));
+  if (trace_.size() > kTraceLength) trace_.pop_front();
+}
+
+void Simulation::PrintTrace(std::ostream& out) const {
+  for (const std::string& line : trace_) out << line << '\n';
+}
+
+}  // namespace balsamhall::ownership_test
