Add the endpoint dispatcher

Cause: the router needs one place per endpoint that counts slots exactly, orders work by rank and remembers request ids.

Change: EndpointDispatcher with RankQueue, RankShares (floors by deficit), RequestMemory, ServiceEstimator, Ramp and the wait estimate used for admission. DispatchRequest gains kind and content; DispatcherOptions gains bounds for the bytes of stored answers and for attached repeats.

--- /dev/null
+++ b/Source/dispatch/endpoint_dispatcher.cc
@@ -0,0 +1,525 @@
+#include "dispatch/endpoint_dispatcher.h"
+
+#include <algorithm>
+#include <ranges>
+#include <set>
+#include <utility>
+
+#include "core/invariant.h"
+#include "dispatch/ramp.h"
+#include "dispatch/rank_queue.h"
+#include "dispatch/rank_shares.h"
+#include "dispatch/request_memory.h"
+#include "dispatch/service_estimator.h"
+#include "dispatch/wait_estimator.h"
+
+namespace balsamhall {
+namespace {
+
+RequestMemory::Options MemoryOptions(const DispatcherOptions& options) {
+  return {options.memory_window, options.clock_skew, options.max_remembered,
+          options.max_remembered_bytes, options.check_memory_start};
+}
+
+std::array<double, kRanks> Floors(const DispatcherOptions& options) {
+  return {0, options.floor_normal, options.floor_background};
+}
+
+}  // namespace
+
+class EndpointDispatcher::Impl {
+ public:
+  Impl(DispatcherOptions options, SteadyTime serving_since, bool cold)
+      : options_(options),
+        serving_since_(serving_since),
+        cold_(cold),
+        now_(serving_since),
+        ramp_(cold ? Ramp(serving_since, options.ramp) : Ramp()),
+        shares_(Floors(options)),
+        memory_(MemoryOptions(options)) {}
+
+  // Every public call starts with Advance.
+  void Advance(SteadyTime now) {
+    now_ = std::max(now_, now);
+    shares_.Advance(now_, OpenSlots(),
+                    {queue_.size(0), queue_.size(1), queue_.size(2)},
+                    running_by_rank_);
+  }
+  void AdvanceWall(WallTime wall_now) { memory_.Advance(wall_now); }
+
+  void Admit(DispatchRequest request, DispatchActions& actions) {
+    const Ticket ticket = request.ticket;
+    const bool fresh = !active_.contains(ticket) && !attached_.contains(ticket);
+    BALSAMHALL_INVARIANT(fresh, "ticket_reused", std::to_string(ticket));
+    if (!fresh) return;
+    if (request.request_id.empty()) {
+      actions.push_back(
+          RejectRequest{ticket, ResultCode::kNotRunMissingHeader});
+      return;
+    }
+    if (auto* entry = memory_.Find(request.request_id)) {
+      Repeat(request, *entry, actions);
+      return;
+    }
+    const ResultCode code = CheckNew(request);
+    if (code != ResultCode::kOk) {
+      actions.push_back(RejectRequest{ticket, code});
+      return;
+    }
+    Enqueue(std::move(request), actions);
+  }
+
+  void Cancel(Ticket ticket, DispatchActions& actions) {
+    if (const auto waiting = attached_.find(ticket);
+        waiting != attached_.end()) {
+      // The request itself goes on, so it may run.
+      Detach(ticket, ResultCode::kUnknownTimeout, actions);
+      return;
+    }
+    const auto found = active_.find(ticket);
+    if (found == active_.end()) return;
+    if (found->second.running) {
+      CancelRunning(found->second, actions);
+      return;
+    }
+    RejectQueued(ticket, ResultCode::kNotRunCancelled, actions);
+  }
+
+  void Finish(Ticket ticket, StoredAnswerPtr answer, DispatchActions& actions) {
+    const auto found = active_.find(ticket);
+    if (found == active_.end() || !found->second.running) return;
+    if (!answer) {
+      answer = std::make_shared<StoredAnswer>(
+          StoredAnswer{ResultCode::kUnknownConnectionLost, 0, {}, {}});
+    }
+    const Active done = std::move(found->second);
+    active_.erase(found);
+    ReleaseSlot(done, IsNotRun(answer->code));
+    const std::string& id = done.request.request_id;
+    if (auto* entry = memory_.Find(id)) {
+      for (const auto& waiter : entry->waiters) {
+        Unlink(waiter);
+        actions.push_back(AnswerFromMemory{waiter.ticket, answer});
+      }
+      entry->waiters.clear();
+    }
+    // What the endpoint refused before execution may be sent again.
+    if (done.request.idempotent || IsNotRun(answer->code)) {
+      memory_.Forget(id);
+    } else {
+      memory_.Store(id, std::move(answer));
+    }
+  }
+
+  void Expire(DispatchActions& actions) {
+    for (const Ticket ticket : queue_.RemoveExpired(now_)) {
+      RejectRemoved(ticket, ResultCode::kNotRunDeadline, actions);
+    }
+    while (!attached_deadlines_.empty() &&
+           attached_deadlines_.begin()->first <= now_) {
+      Detach(attached_deadlines_.begin()->second, ResultCode::kUnknownTimeout,
+             actions);
+    }
+    for (const Ticket ticket : running_) {
+      Active& active = active_.at(ticket);
+      if (active.request.deadline <= now_) CancelRunning(active, actions);
+    }
+  }
+
+  void SetPartitions(const std::map<PartitionId, Fence>& partitions,
+                     DispatchActions& actions) {
+    const auto staying = memory_.SetPartitions(partitions);
+    // Also rejects what was queued under an earlier epoch: a repeat may have
+    // run at another endpoint in between.
+    RejectQueuedIf(
+        [&](const DispatchRequest& request) {
+          return request.partition && !staying.contains(*request.partition);
+        },
+        ResultCode::kNotRunMoved, actions);
+  }
+
+  void Stop(ResultCode code, DispatchActions& actions) {
+    stopped_ = code;
+    RejectQueuedIf([](const DispatchRequest&) { return true; }, code, actions);
+  }
+
+  void SetOptions(const DispatcherOptions& options) {
+    options_ = options;
+    if (cold_) ramp_ = Ramp(serving_since_, options.ramp);
+    shares_.set_floors(Floors(options));
+    memory_.set_options(MemoryOptions(options));
+  }
+
+  // Starts queued work while slots are open.
+  void StartReady(DispatchActions& actions) {
+    while (running_.size() < OpenSlots()) {
+      const auto choice = Next();
+      if (!choice) return;
+      const RankQueue::Item item = *choice->item;
+      // Work that would be cut off by its deadline wastes the slot. The last
+      // one is tried nevertheless, because the estimate may be wrong.
+      const bool late =
+          now_ + EstimateOf(item.ticket) > item.deadline && queue_.size() > 1;
+      if (late || item.deadline <= now_) {
+        RejectQueued(item.ticket, ResultCode::kNotRunDeadline, actions);
+        continue;
+      }
+      queue_.Remove(item.ticket);
+      Start(item.ticket, choice->ahead_of_turn, actions);
+    }
+  }
+
+  std::map<PartitionId, SteadyTime> RunningUntil() const {
+    std::map<PartitionId, SteadyTime> until;
+    for (const Ticket ticket : running_) {
+      const DispatchRequest& request = active_.at(ticket).request;
+      if (!request.partition) continue;
+      auto& latest = until[*request.partition];
+      latest = std::max(latest, request.deadline);
+    }
+    return until;
+  }
+
+  std::uint32_t running() const {
+    return static_cast<std::uint32_t>(running_.size());
+  }
+  std::size_t queued() const { return queue_.size(); }
+
+  Microseconds Wait(std::size_t rank, bool long_running) const {
+    return ExpectedQueueWait(rank, long_running, Slots(), queue_, shares_);
+  }
+
+ private:
+  struct Active {
+    DispatchRequest request;
+    bool running = false;
+    bool cancelled = false;
+    bool ahead_of_turn = false;  // charged to the floor of its rank
+    SteadyTime started;
+    Microseconds estimate{0};
+  };
+  struct Choice {
+    const RankQueue::Item* item;
+    bool ahead_of_turn;
+  };
+
+  std::uint32_t OpenSlots() const {
+    return ramp_.Slots(std::max<std::uint32_t>(1, options_.slots), now_);
+  }
+
+  // One slot stays free of long-running work where there is more than one.
+  std::uint32_t LongLimit() const {
+    return options_.slots <= 1 ? 1 : OpenSlots() - 1;
+  }
+
+  SlotState Slots() const {
+    SlotState state;
+    state.open = OpenSlots();
+    state.running = running();
+    state.long_limit = LongLimit();
+    state.long_running = long_running_;
+    state.until_long = state.long_limit > 0
+                           ? Microseconds{0}
+                           : ramp_.TimeUntil(2, options_.slots, now_);
+    for (const Ticket ticket : running_) {
+      const Active& active = active_.at(ticket);
+      const auto spent =
+          std::chrono::duration_cast<Microseconds>(now_ - active.started);
+      const auto rest = std::max(Microseconds{0}, active.estimate - spent);
+      state.remaining += rest;
+      if (active.request.long_running) state.long_remaining += rest;
+    }
+    return state;
+  }
+
+  Microseconds EstimateOf(Ticket ticket) const {
+    return estimator_.Estimate(active_.at(ticket).request.kind, now_);
+  }
+
+  // Checks a request whose id is not remembered.
+  ResultCode CheckNew(const DispatchRequest& request) const {
+    if (!request.idempotent) {
+      if (!request.first_issued) return ResultCode::kNotRunMissingHeader;
+      if (!request.partition) return ResultCode::kNotRunBadRequest;
+    }
+    if (request.partition && !memory_.Owns(*request.partition)) {
+      return stopped_.value_or(ResultCode::kNotRunMoved);
+    }
+    if (!request.idempotent) {
+      const ResultCode code =
+          memory_.CheckFirstIssued(*request.partition, *request.first_issued);
+      if (code != ResultCode::kOk) return code;
+    }
+    if (stopped_) return *stopped_;
+    if (request.deadline <= now_) return ResultCode::kNotRunDeadline;
+    const auto wait = Wait(RankIndex(request.rank), request.long_running);
+    const auto cost = estimator_.Estimate(request.kind, now_);
+    // A request that can start at once is tried whatever the estimate says.
+    if (wait.count() > 0 && now_ + wait + cost > request.deadline) {
+      return ResultCode::kNotRunDeadline;
+    }
+    return ResultCode::kOk;
+  }
+
+  void Enqueue(DispatchRequest request, DispatchActions& actions) {
+    const Ticket ticket = request.ticket;
+    const RankQueue::Item item{ticket,
+                               RankIndex(request.rank),
+                               request.long_running,
+                               request.deadline,
+                               request.bytes,
+                               estimator_.Estimate(request.kind, now_)};
+    const auto dropped = queue_.MakeRoom(
+        item,
+        {options_.max_queued, options_.max_queued_bytes, Floors(options_)});
+    if (!dropped) {
+      actions.push_back(RejectRequest{ticket, ResultCode::kNotRunQueueFull});
+      return;
+    }
+    for (const Ticket victim : *dropped) {
+      RejectRemoved(victim, ResultCode::kNotRunShed, actions);
+    }
+    RequestMemory::Entry entry;
+    entry.ticket = ticket;
+    entry.idempotent = request.idempotent;
+    entry.content = request.content;
+    memory_.Add(request.request_id, std::move(entry));
+    queue_.Push(item);
+    active_.emplace(ticket, Active{std::move(request), false, false, false,
+                                   SteadyTime{}, item.cost});
+  }
+
+  void Repeat(const DispatchRequest& request, RequestMemory::Entry& entry,
+              DispatchActions& actions) {
+    if (entry.content != request.content) {
+      actions.push_back(
+          RejectRequest{request.ticket, ResultCode::kNotRunBadRequest});
+    } else if (entry.state == RequestMemory::State::kFinished) {
+      actions.push_back(AnswerFromMemory{request.ticket, entry.answer});
+    } else if (request.deadline <= now_ ||
+               entry.waiters.size() >= options_.max_attached) {
+      actions.push_back(
+          RejectRequest{request.ticket, ResultCode::kUnknownTimeout});
+    } else {
+      entry.waiters.push_back({request.ticket, request.deadline});
+      attached_.emplace(request.ticket, request.request_id);
+      attached_deadlines_.emplace(request.deadline, request.ticket);
+    }
+  }
+
+  std::optional<Choice> Next() const {
+    const bool allow_long = long_running_ < LongLimit();
+    std::size_t top = 0;
+    while (top < kRanks && !queue_.First(top, allow_long)) ++top;
+    if (top == kRanks) return std::nullopt;
+    for (std::size_t rank = top + 1; rank < kRanks; ++rank) {
+      const auto* item = queue_.First(rank, allow_long);
+      if (item && shares_.Due(rank)) return Choice{item, true};
+    }
+    return Choice{queue_.First(top, allow_long), false};
+  }
+
+  void Start(Ticket ticket, bool ahead_of_turn, DispatchActions& actions) {
+    const auto found = active_.find(ticket);
+    const bool startable = found != active_.end() && !found->second.running;
+    BALSAMHALL_INVARIANT(startable, "settled_ticket_started",
+                         std::to_string(ticket));
+    if (!startable) return;
+    Active& active = found->second;
+    const std::size_t rank = RankIndex(active.request.rank);
+    auto* entry = memory_.Find(active.request.request_id);
+    BALSAMHALL_INVARIANT(entry && entry->ticket == ticket, "started_unknown_id",
+                         active.request.request_id);
+    if (entry) {
+      ++entry->starts;
+      entry->state = RequestMemory::State::kRunning;
+      BALSAMHALL_INVARIANT(entry->starts == 1, "request_started_twice",
+                           active.request.request_id);
+    }
+    active.running = true;
+    active.started = now_;
+    active.estimate = EstimateOf(ticket);
+    active.ahead_of_turn = ahead_of_turn;
+    if (ahead_of_turn) {
+      shares_.Charge(rank, active.estimate);
+    } else {
+      shares_.Spend(rank, active.estimate);
+    }
+    running_.insert(ticket);
+    ++running_by_rank_[rank];
+    if (active.request.long_running) ++long_running_;
+    BALSAMHALL_INVARIANT(running_.size() <= std::max(1U, options_.slots),
+                         "slots_exceeded", std::to_string(running_.size()));
+    BALSAMHALL_INVARIANT(
+        !active.request.long_running || long_running_ <= LongLimit(),
+        "reservation_broken", std::to_string(long_running_));
+    actions.push_back(StartWork{ticket});
+  }
+
+  void ReleaseSlot(const Active& done, bool not_run) {
+    const std::size_t rank = RankIndex(done.request.rank);
+    const auto spent =
+        std::chrono::duration_cast<Microseconds>(now_ - done.started);
+    running_.erase(done.request.ticket);
+    --running_by_rank_[rank];
+    if (done.request.long_running) --long_running_;
+    if (done.ahead_of_turn) shares_.Charge(rank, spent - done.estimate);
+    // A refusal is quick and says nothing about the service time.
+    if (!not_run) estimator_.Record(done.request.kind, spent, now_);
+  }
+
+  void CancelRunning(Active& active, DispatchActions& actions) {
+    if (std::exchange(active.cancelled, true)) return;
+    actions.push_back(CancelWork{active.request.ticket});
+  }
+
+  void RejectQueued(Ticket ticket, ResultCode code, DispatchActions& actions) {
+    queue_.Remove(ticket);
+    RejectRemoved(ticket, code, actions);
+  }
+
+  // Rejects a request that has been taken from the queue, and its repeats.
+  void RejectRemoved(Ticket ticket, ResultCode code, DispatchActions& actions) {
+    const auto node = active_.extract(ticket);
+    const std::string& id = node.mapped().request.request_id;
+    actions.push_back(RejectRequest{ticket, code});
+    if (auto* entry = memory_.Find(id)) {
+      for (const auto& waiter : entry->waiters) {
+        Unlink(waiter);
+        actions.push_back(RejectRequest{waiter.ticket, code});
+      }
+    }
+    memory_.Forget(id);
+  }
+
+  template <typename Predicate>
+  void RejectQueuedIf(Predicate predicate, ResultCode code,
+                      DispatchActions& actions) {
+    std::vector<Ticket> rejected;
+    for (const auto& [ticket, active] : active_) {
+      if (!active.running && predicate(active.request)) {
+        rejected.push_back(ticket);
+      }
+    }
+    for (const Ticket ticket : rejected) RejectQueued(ticket, code, actions);
+  }
+
+  void Unlink(const RequestMemory::Waiter& waiter) {
+    attached_.erase(waiter.ticket);
+    attached_deadlines_.erase({waiter.deadline, waiter.ticket});
+  }
+
+  // Answers one attached repeat; the request that it waits for goes on.
+  void Detach(Ticket ticket, ResultCode code, DispatchActions& actions) {
+    const auto found = attached_.find(ticket);
+    auto& waiters = memory_.Find(found->second)->waiters;
+    const auto waiter =
+        std::ranges::find(waiters, ticket, &RequestMemory::Waiter::ticket);
+    const RequestMemory::Waiter detached = *waiter;
+    waiters.erase(waiter);
+    Unlink(detached);
+    actions.push_back(RejectRequest{ticket, code});
+  }
+
+  DispatcherOptions options_;
+  SteadyTime serving_since_;
+  bool cold_;
+  SteadyTime now_;
+  Ramp ramp_;
+  RankShares shares_;
+  RankQueue queue_;
+  ServiceEstimator estimator_;
+  RequestMemory memory_;
+  std::optional<ResultCode> stopped_;
+
+  std::map<Ticket, Active> active_;  // queued and running
+  std::set<Ticket> running_;
+  std::array<std::uint32_t, kRanks> running_by_rank_{};
+  std::uint32_t long_running_ = 0;
+  std::map<Ticket, std::string> attached_;  // repeats that wait, by request id
+  std::set<std::pair<SteadyTime, Ticket>> attached_deadlines_;
+};
+
+EndpointDispatcher::EndpointDispatcher(DispatcherOptions options,
+                                       SteadyTime serving_since, bool cold)
+    : impl_(std::make_unique<Impl>(options, serving_since, cold)) {}
+EndpointDispatcher::~EndpointDispatcher() = default;
+
+DispatchActions EndpointDispatcher::Submit(DispatchRequest request,
+                                           SteadyTime now, WallTime wall_now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->AdvanceWall(wall_now);
+  impl_->Admit(std::move(request), actions);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::Cancel(Ticket ticket, SteadyTime now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->Cancel(ticket, actions);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::Finish(Ticket ticket,
+                                           StoredAnswerPtr answer,
+                                           SteadyTime now, WallTime wall_now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->AdvanceWall(wall_now);
+  impl_->Finish(ticket, std::move(answer), actions);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::Tick(SteadyTime now, WallTime wall_now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->AdvanceWall(wall_now);
+  impl_->Expire(actions);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::SetPartitions(
+    const std::map<PartitionId, Fence>& partitions, SteadyTime now,
+    WallTime wall_now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->AdvanceWall(wall_now);
+  impl_->SetPartitions(partitions, actions);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::Stop(ResultCode code, SteadyTime now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->Stop(code, actions);
+  return actions;
+}
+
+DispatchActions EndpointDispatcher::SetOptions(DispatcherOptions options,
+                                               SteadyTime now) {
+  DispatchActions actions;
+  impl_->Advance(now);
+  impl_->SetOptions(options);
+  impl_->StartReady(actions);
+  return actions;
+}
+
+std::map<PartitionId, SteadyTime> EndpointDispatcher::RunningUntil() const {
+  return impl_->RunningUntil();
+}
+
+std::uint32_t EndpointDispatcher::running() const { return impl_->running(); }
+
+std::size_t EndpointDispatcher::queued() const { return impl_->queued(); }
+
+Microseconds EndpointDispatcher::ExpectedWait(schema::Rank rank) const {
+  return impl_->Wait(RankIndex(rank), false);
+}
+
+}  // namespace balsamhall
--- a/Source/dispatch/endpoint_dispatcher.h
+++ b/Source/dispatch/endpoint_dispatcher.h
@@ -38,6 +38,11 @@
   std::optional<WallTime> first_issued;  // set for non-idempotent requests
   SteadyTime deadline;
   std::size_t bytes = 0;
+  // Selects the service time used for admission; any stable small number.
+  std::uint32_t kind = 0;
+  // Digest of kind, key and body. A request id that is used again with another
+  // digest is rejected, so that no caller gets the answer to other content.
+  std::uint64_t content = 0;
 };
 
 // ---- Outputs --------------------------------------------------------------
@@ -76,6 +81,8 @@
   std::size_t max_queued_bytes = 16U << 20U;
   Milliseconds memory_window{600'000};
   std::size_t max_remembered = 200'000;
+  std::size_t max_remembered_bytes = 64U << 20U;
+  std::size_t max_attached = 64;  // waiting repeats of one request id
   Milliseconds clock_skew{2000};
   Milliseconds ramp{10'000};
   bool check_memory_start = true;  // removed only by the random test
--- /dev/null
+++ b/Source/dispatch/rank_shares.cc
@@ -0,0 +1,61 @@
+#include "dispatch/rank_shares.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamhall {
+namespace {
+
+// Credit is kept for at most this long, so that a rank whose work could not
+// start for a while does not take all slots afterwards.
+constexpr double kMaxCreditSeconds = 1;
+// Time constant of the measured use of slots.
+constexpr double kUseSeconds = 1;
+
+}  // namespace
+
+RankShares::RankShares(std::array<double, kRanks> floors) : floors_(floors) {}
+
+void RankShares::Advance(SteadyTime now, std::uint32_t slots,
+                         const std::array<std::size_t, kRanks>& queued,
+                         const std::array<std::uint32_t, kRanks>& running) {
+  if (last_ == SteadyTime{}) last_ = now;
+  const double seconds = std::chrono::duration<double>(now - last_).count();
+  if (seconds <= 0) return;
+  last_ = now;
+  const double decay = 1 - std::exp(-seconds / kUseSeconds);
+  for (std::size_t rank = 0; rank < kRanks; ++rank) {
+    const double share = std::min(
+        1.0, static_cast<double>(running[rank]) / static_cast<double>(slots));
+    used_[rank] += decay * (share - used_[rank]);
+    const double rate = floors_[rank] * slots * 1e6;
+    const double earned = credit_[rank] + rate * seconds;
+    // An idle rank repays what it used in advance but saves nothing.
+    credit_[rank] = queued[rank] > 0
+                        ? std::min(earned, std::max(credit_[rank],
+                                                    rate * kMaxCreditSeconds))
+                        : std::min(earned, 0.0);
+  }
+}
+
+void RankShares::Charge(std::size_t rank, Microseconds cost) {
+  credit_[rank] -= static_cast<double>(cost.count());
+}
+
+void RankShares::Spend(std::size_t rank, Microseconds cost) {
+  if (credit_[rank] <= 0) return;
+  credit_[rank] =
+      std::max(0.0, credit_[rank] - static_cast<double>(cost.count()));
+}
+
+Microseconds RankShares::Debt(std::size_t rank) const {
+  return Microseconds{static_cast<std::int64_t>(std::max(0.0, -credit_[rank]))};
+}
+
+double RankShares::UsedAbove(std::size_t rank) const {
+  double used = 0;
+  for (std::size_t above = 0; above < rank; ++above) used += used_[above];
+  return std::min(1.0, used);
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/dispatch/service_estimator.cc
@@ -0,0 +1,49 @@
+#include "dispatch/service_estimator.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsamhall {
+namespace {
+
+// A low guess admits too much for a moment; a high one would reject work that
+// an unmeasured endpoint could have done.
+constexpr Microseconds kDefaultEstimate{1000};
+// Follows a changed service time within about 30 requests.
+constexpr double kWeight = 0.1;
+// A wrong estimate of twice the deadline or more excludes a kind for some 10 s.
+constexpr double kHalfLifeSeconds = 10;
+// Kinds come from the configuration; the bound guards against a caller that
+// passes unchecked numbers.
+constexpr std::size_t kMaxKinds = 256;
+
+}  // namespace
+
+void ServiceEstimator::Mean::Add(double sample, SteadyTime now) {
+  last = now;
+  ++samples;
+  // The first samples have equal weights, so that one outlier at the start
+  // does not dominate.
+  value += std::max(kWeight, 1.0 / samples) * (sample - value);
+}
+
+void ServiceEstimator::Record(std::uint32_t kind, Microseconds duration,
+                              SteadyTime now) {
+  const auto sample = static_cast<double>(duration.count());
+  all_.Add(sample, now);
+  if (by_kind_.contains(kind) || by_kind_.size() < kMaxKinds) {
+    by_kind_[kind].Add(sample, now);
+  }
+}
+
+Microseconds ServiceEstimator::Estimate(std::uint32_t kind,
+                                        SteadyTime now) const {
+  const auto found = by_kind_.find(kind);
+  const Mean& mean = found != by_kind_.end() ? found->second : all_;
+  if (mean.samples == 0) return kDefaultEstimate;
+  const double idle = std::chrono::duration<double>(now - mean.last).count();
+  const double decay = std::exp2(-std::max(0.0, idle) / kHalfLifeSeconds);
+  return Microseconds{static_cast<std::int64_t>(mean.value * decay)};
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/dispatch/wait_estimator.cc
@@ -0,0 +1,72 @@
+#include "dispatch/wait_estimator.h"
+
+#include <algorithm>
+
+namespace balsamhall {
+namespace {
+
+double Micros(Microseconds value) { return static_cast<double>(value.count()); }
+
+Microseconds ToMicroseconds(double value) {
+  // An hour stands for every longer wait and keeps sums with time points from
+  // overflowing.
+  return Microseconds{static_cast<std::int64_t>(std::min(value, 3.6e9))};
+}
+
+// Wait for the slots that all kinds may use.
+double SlotWait(std::size_t rank, const SlotState& slots,
+                const RankQueue& queue, const RankShares& shares) {
+  const double own = Micros(queue.work(rank));
+  double ahead = own + Micros(slots.remaining);
+  for (std::size_t above = 0; above < rank; ++above) {
+    ahead += Micros(queue.work(above));
+  }
+  double taken_below = 0;
+  for (std::size_t below = rank + 1; below < kRanks; ++below) {
+    if (queue.size(below) > 0) taken_below += shares.floor(below);
+  }
+  const double open = slots.open;
+  const double left = std::max(0.05, 1 - taken_below);
+  const double by_queue = ahead / (open * left);
+  const double floor = shares.floor(rank);
+  if (rank == 0 || floor <= 0) return by_queue;
+  // Under a lasting flood of more urgent work, later arrivals overtake; what is
+  // left over from their recent use is the rate of this rank. The floor bounds
+  // the wait from above.
+  const double rate = std::max(floor, left - shares.UsedAbove(rank));
+  const double by_rate = own / (open * rate);
+  const double by_floor = (own + Micros(shares.Debt(rank))) / (open * floor) +
+                          Micros(slots.remaining) / open;
+  return std::min(std::max(by_queue, by_rate), by_floor);
+}
+
+// Wait for the slots that long-running kinds may use.
+double LongWait(std::size_t rank, const SlotState& slots,
+                const RankQueue& queue) {
+  if (slots.long_limit == 0) return Micros(slots.until_long);
+  double ahead = Micros(slots.long_remaining);
+  for (std::size_t above = 0; above <= rank; ++above) {
+    ahead += Micros(queue.long_work(above));
+  }
+  return ahead / slots.long_limit;
+}
+
+}  // namespace
+
+Microseconds ExpectedQueueWait(std::size_t rank, bool long_running,
+                               const SlotState& slots, const RankQueue& queue,
+                               const RankShares& shares) {
+  std::size_t before = 0;
+  for (std::size_t above = 0; above <= rank; ++above) {
+    before += queue.size(above);
+  }
+  const bool slot_free = slots.running < slots.open && before == 0;
+  const bool long_free = !long_running || slots.long_running < slots.long_limit;
+  if (slot_free && long_free) return Microseconds{0};
+  const double slot_wait = slot_free ? 0 : SlotWait(rank, slots, queue, shares);
+  const double long_wait = long_running ? LongWait(rank, slots, queue) : 0;
+  // One microsecond marks that the request has to wait at all.
+  return ToMicroseconds(std::max({1.0, slot_wait, long_wait}));
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/dispatch/wait_estimator.h
@@ -0,0 +1,31 @@
+// Expected wait of a request that joins the queue of an endpoint.
+#ifndef BALSAMHALL_DISPATCH_WAIT_ESTIMATOR_H_
+#define BALSAMHALL_DISPATCH_WAIT_ESTIMATOR_H_
+
+#include <cstdint>
+
+#include "core/types.h"
+#include "dispatch/rank_queue.h"
+#include "dispatch/rank_shares.h"
+
+namespace balsamhall {
+
+// State of the slots at the time of the estimate.
+struct SlotState {
+  std::uint32_t open = 1;  // slots that may be used
+  std::uint32_t running = 0;
+  std::uint32_t long_limit = 1;  // slots that long-running work may hold
+  std::uint32_t long_running = 0;
+  Microseconds remaining{0};       // expected rest of the running work
+  Microseconds long_remaining{0};  // the part of it that is long-running
+  Microseconds until_long{0};      // until long_limit is above zero
+};
+
+// Returns zero if the request would start at once. Thread-safe.
+Microseconds ExpectedQueueWait(std::size_t rank, bool long_running,
+                               const SlotState& slots, const RankQueue& queue,
+                               const RankShares& shares);
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_DISPATCH_WAIT_ESTIMATOR_H_
--- /dev/null
+++ b/Tests/Dispatch/at_most_once_test.cc
@@ -0,0 +1,112 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <ostream>
+
+#include "Dispatch/dispatcher_fixture.h"
+
+namespace balsamhall {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+struct RepeatCase {
+  std::string guards_against;
+  // Steps between the first request and its repeat.
+  std::function<void(DispatcherFixture&, Ticket)> between;
+  // Changes the repeat, which starts as a copy of the first request.
+  std::function<void(DispatchRequest&)> change;
+  std::size_t starts = 1;            // of first request and repeat together
+  std::optional<ResultCode> answer;  // to the repeat; unset: none yet
+};
+
+std::ostream& operator<<(std::ostream& out, const RepeatCase& repeat) {
+  return out << repeat.guards_against;
+}
+
+void Keep(DispatchRequest&) {}
+
+const RepeatCase kRepeats[] = {
+    {"a second run of a request that is still running",
+     [](DispatcherFixture&, Ticket) {}, Keep, 1, std::nullopt},
+    {"a second run of a finished request",
+     [](DispatcherFixture& fixture, Ticket first) { fixture.Finish(first); },
+     Keep, 1, ResultCode::kOk},
+    {"a second run after an unknown outcome",
+     [](DispatcherFixture& fixture, Ticket first) {
+       fixture.Finish(first, ResultCode::kUnknownTimeout);
+     },
+     Keep, 1, ResultCode::kUnknownTimeout},
+    {"a lost request: the endpoint proved that it was not run",
+     [](DispatcherFixture& fixture, Ticket first) {
+       fixture.Finish(first, ResultCode::kNotRunShed);
+     },
+     Keep, 2, std::nullopt},
+    {"a second run after the window of the memory",
+     [](DispatcherFixture& fixture, Ticket first) {
+       fixture.Finish(first);
+       fixture.Pass(Milliseconds{603'000});
+     },
+     Keep, 1, ResultCode::kUnknownRepeatOutsideWindow},
+    {"a second run when the bounded memory is full",
+     [](DispatcherFixture& fixture, Ticket first) {
+       fixture.Finish(first);
+       for (int i = 0; i < 4; ++i) {
+         fixture.Pass(Milliseconds{1});
+         fixture.Finish(fixture.Submit(schema::RANK_NORMAL));
+       }
+       fixture.started.erase(fixture.started.begin() + 1,
+                             fixture.started.end());
+     },
+     Keep, 1, ResultCode::kUnknownRepeatOutsideWindow},
+    {"a second run after the partition went away and came back",
+     [](DispatcherFixture& fixture, Ticket) {
+       fixture.Finish(fixture.started[0], ResultCode::kNotRunStaleFence);
+       fixture.Note(
+           fixture.dispatcher.SetPartitions({}, fixture.steady, fixture.wall));
+       fixture.Note(fixture.dispatcher.SetPartitions(
+           {{7, Fence{5, 2}}}, fixture.steady, fixture.wall));
+     },
+     Keep, 1, ResultCode::kUnknownRepeatBeforeMemory},
+    {"a wall clock that steps back and makes an old request look new",
+     [](DispatcherFixture& fixture, Ticket first) {
+       fixture.Finish(first);
+       fixture.Pass(Milliseconds{603'000});
+       fixture.wall -= Milliseconds{603'000};
+     },
+     Keep, 1, ResultCode::kUnknownRepeatOutsideWindow},
+    {"the answer to other content under the same id",
+     [](DispatcherFixture& fixture, Ticket first) { fixture.Finish(first); },
+     [](DispatchRequest& repeat) { repeat.content = 99; }, 1,
+     ResultCode::kNotRunBadRequest},
+};
+
+// Guards against a disposal or booking that is executed twice.
+BOOST_DATA_TEST_CASE(RepeatOfANonIdempotentRequest, data::make(kRepeats),
+                     repeat) {
+  DispatcherOptions options;
+  options.slots = 2;
+  options.max_remembered = 2;
+  DispatcherFixture fixture(options);
+  auto request = fixture.Request(schema::RANK_NORMAL);
+  const Ticket first = fixture.Submit(request);
+  BOOST_REQUIRE_EQUAL(fixture.started.size(), 1U);
+  repeat.between(fixture, first);
+  request.ticket = fixture.next_ticket++;
+  request.deadline = fixture.steady + Milliseconds{1000};
+  repeat.change(request);
+  fixture.Submit(request);
+  BOOST_CHECK_EQUAL(fixture.started.size(), repeat.starts);
+  BOOST_CHECK_EQUAL(fixture.answers.contains(request.ticket),
+                    repeat.answer.has_value());
+  if (repeat.answer) {
+    BOOST_CHECK(fixture.answers[request.ticket] == *repeat.answer);
+  } else if (repeat.starts == 1) {
+    fixture.Finish(first);
+    BOOST_CHECK(fixture.answers[request.ticket] == ResultCode::kOk);
+  }
+}
+
+}  // namespace
+}  // namespace balsamhall
