--- a/Source/dispatch/endpoint_dispatcher.cc
+++ b/Source/dispatch/endpoint_dispatcher.cc
@@ -11,6 +11,7 @@
 #include "dispatch/rank_shares.h"
 #include "dispatch/request_memory.h"
 #include "dispatch/service_estimator.h"
+#include "dispatch/slot_table.h"
 #include "dispatch/wait_estimator.h"
 
 namespace balsamhall {
@@ -35,6 +36,7 @@
         cold_(cold),
         now_(serving_since),
         ramp_(cold ? Ramp(serving_since, options.ramp) : Ramp()),
+        slots_(options.slots),
         shares_(Floors(options)),
         memory_(MemoryOptions(options)) {}
 
@@ -43,7 +45,7 @@
     now_ = std::max(now_, now);
     shares_.Advance(now_, OpenSlots(),
                     {queue_.size(0), queue_.size(1), queue_.size(2)},
-                    running_by_rank_);
+                    slots_.by_rank());
   }
   void AdvanceWall(WallTime wall_now) { memory_.Advance(wall_now); }
 
@@ -76,26 +78,22 @@
       Detach(ticket, ResultCode::kUnknownTimeout, actions);
       return;
     }
-    const auto found = active_.find(ticket);
-    if (found == active_.end()) return;
-    if (found->second.running) {
-      CancelRunning(found->second, actions);
-      return;
+    if (slots_.Cancel(ticket)) actions.push_back(CancelWork{ticket});
+    if (queue_.Remove(ticket)) {
+      RejectRemoved(ticket, ResultCode::kNotRunCancelled, actions);
     }
-    RejectQueued(ticket, ResultCode::kNotRunCancelled, actions);
   }
 
   void Finish(Ticket ticket, StoredAnswerPtr answer, DispatchActions& actions) {
-    const auto found = active_.find(ticket);
-    if (found == active_.end() || !found->second.running) return;
+    const auto work = slots_.Finish(ticket);
+    if (!work) return;
     if (!answer) {
       answer = std::make_shared<StoredAnswer>(
           StoredAnswer{ResultCode::kUnknownConnectionLost, 0, {}, {}});
     }
-    const Active done = std::move(found->second);
-    active_.erase(found);
-    ReleaseSlot(done, IsNotRun(answer->code));
-    const std::string& id = done.request.request_id;
+    const DispatchRequest done = std::move(active_.extract(ticket).mapped());
+    Account(*work, done.kind, IsNotRun(answer->code));
+    const std::string& id = done.request_id;
     if (auto* entry = memory_.Find(id)) {
       for (const auto& waiter : entry->waiters) {
         Unlink(waiter);
@@ -104,7 +102,7 @@
       entry->waiters.clear();
     }
     // What the endpoint refused before execution may be sent again.
-    if (done.request.idempotent || IsNotRun(answer->code)) {
+    if (done.idempotent || IsNotRun(answer->code)) {
       memory_.Forget(id);
     } else {
       memory_.Store(id, std::move(answer));
@@ -120,9 +118,9 @@
       Detach(attached_deadlines_.begin()->second, ResultCode::kUnknownTimeout,
              actions);
     }
-    for (const Ticket ticket : running_) {
-      Active& active = active_.at(ticket);
-      if (active.request.deadline <= now_) CancelRunning(active, actions);
+    for (const Ticket ticket : slots_.Overdue(now_)) {
+      slots_.Cancel(ticket);
+      actions.push_back(CancelWork{ticket});
     }
   }
 
@@ -146,13 +144,14 @@
   void SetOptions(const DispatcherOptions& options) {
     options_ = options;
     if (cold_) ramp_ = Ramp(serving_since_, options.ramp);
+    slots_.set_slots(options.slots);
     shares_.set_floors(Floors(options));
     memory_.set_options(MemoryOptions(options));
   }
 
   // Starts queued work while slots are open.
   void StartReady(DispatchActions& actions) {
-    while (running_.size() < OpenSlots()) {
+    while (slots_.running() < OpenSlots()) {
       const auto choice = Next();
       if (!choice) return;
       const RankQueue::Item item = *choice->item;
@@ -169,71 +168,37 @@
     }
   }
 
-  std::map<PartitionId, SteadyTime> RunningUntil() const {
-    std::map<PartitionId, SteadyTime> until;
-    for (const Ticket ticket : running_) {
-      const DispatchRequest& request = active_.at(ticket).request;
-      if (!request.partition) continue;
-      auto& latest = until[*request.partition];
-      latest = std::max(latest, request.deadline);
-    }
-    return until;
-  }
-
-  std::uint32_t running() const {
-    return static_cast<std::uint32_t>(running_.size());
-  }
+  const SlotTable& slots() const { return slots_; }
   std::size_t queued() const { return queue_.size(); }
 
   Microseconds Wait(std::size_t rank, bool long_running) const {
-    return ExpectedQueueWait(rank, long_running, Slots(), queue_, shares_);
+    return ExpectedQueueWait(rank, long_running, State(), queue_, shares_);
   }
 
  private:
-  struct Active {
-    DispatchRequest request;
-    bool running = false;
-    bool cancelled = false;
-    bool ahead_of_turn = false;  // charged to the floor of its rank
-    SteadyTime started;
-    Microseconds estimate{0};
-  };
   struct Choice {
     const RankQueue::Item* item;
     bool ahead_of_turn;
   };
 
-  std::uint32_t OpenSlots() const {
-    return ramp_.Slots(std::max<std::uint32_t>(1, options_.slots), now_);
-  }
-
-  // One slot stays free of long-running work where there is more than one.
-  std::uint32_t LongLimit() const {
-    return options_.slots <= 1 ? 1 : OpenSlots() - 1;
-  }
+  std::uint32_t OpenSlots() const { return ramp_.Slots(slots_.slots(), now_); }
 
-  SlotState Slots() const {
+  SlotState State() const {
     SlotState state;
     state.open = OpenSlots();
-    state.running = running();
-    state.long_limit = LongLimit();
-    state.long_running = long_running_;
-    state.until_long = state.long_limit > 0
-                           ? Microseconds{0}
-                           : ramp_.TimeUntil(2, options_.slots, now_);
-    for (const Ticket ticket : running_) {
-      const Active& active = active_.at(ticket);
-      const auto spent =
-          std::chrono::duration_cast<Microseconds>(now_ - active.started);
-      const auto rest = std::max(Microseconds{0}, active.estimate - spent);
-      state.remaining += rest;
-      if (active.request.long_running) state.long_remaining += rest;
+    state.running = slots_.running();
+    state.long_limit = slots_.LongLimit(state.open);
+    state.long_running = slots_.long_running();
+    state.remaining = slots_.Remaining(now_, false);
+    state.long_remaining = slots_.Remaining(now_, true);
+    if (state.long_limit == 0) {
+      state.until_long = ramp_.TimeUntil(2, slots_.slots(), now_);
     }
     return state;
   }
 
   Microseconds EstimateOf(Ticket ticket) const {
-    return estimator_.Estimate(active_.at(ticket).request.kind, now_);
+    return estimator_.Estimate(active_.at(ticket).kind, now_);
   }
 
   // Checks a request whose id is not remembered.
@@ -285,8 +250,7 @@
     entry.content = request.content;
     memory_.Add(request.request_id, std::move(entry));
     queue_.Push(item);
-    active_.emplace(ticket, Active{std::move(request), false, false, false,
-                                   SteadyTime{}, item.cost});
+    active_.emplace(ticket, std::move(request));
   }
 
   void Repeat(const DispatchRequest& request, RequestMemory::Entry& entry,
@@ -308,7 +272,8 @@
   }
 
   std::optional<Choice> Next() const {
-    const bool allow_long = long_running_ < LongLimit();
+    const bool allow_long =
+        slots_.long_running() < slots_.LongLimit(OpenSlots());
     std::size_t top = 0;
     while (top < kRanks && !queue_.First(top, allow_long)) ++top;
     if (top == kRanks) return std::nullopt;
@@ -321,56 +286,43 @@
 
   void Start(Ticket ticket, bool ahead_of_turn, DispatchActions& actions) {
     const auto found = active_.find(ticket);
-    const bool startable = found != active_.end() && !found->second.running;
-    BALSAMHALL_INVARIANT(startable, "settled_ticket_started",
+    BALSAMHALL_INVARIANT(found != active_.end(), "settled_ticket_started",
                          std::to_string(ticket));
-    if (!startable) return;
-    Active& active = found->second;
-    const std::size_t rank = RankIndex(active.request.rank);
-    auto* entry = memory_.Find(active.request.request_id);
+    if (found == active_.end()) return;
+    const DispatchRequest& request = found->second;
+    auto* entry = memory_.Find(request.request_id);
     BALSAMHALL_INVARIANT(entry && entry->ticket == ticket, "started_unknown_id",
-                         active.request.request_id);
+                         request.request_id);
     if (entry) {
       ++entry->starts;
       entry->state = RequestMemory::State::kRunning;
       BALSAMHALL_INVARIANT(entry->starts == 1, "request_started_twice",
-                           active.request.request_id);
+                           request.request_id);
     }
-    active.running = true;
-    active.started = now_;
-    active.estimate = EstimateOf(ticket);
-    active.ahead_of_turn = ahead_of_turn;
+    SlotTable::Work work;
+    work.rank = RankIndex(request.rank);
+    work.long_running = request.long_running;
+    work.ahead_of_turn = ahead_of_turn;
+    work.partition = request.partition;
+    work.started = now_;
+    work.deadline = request.deadline;
+    work.estimate = EstimateOf(ticket);
     if (ahead_of_turn) {
-      shares_.Charge(rank, active.estimate);
+      shares_.Charge(work.rank, work.estimate);
     } else {
-      shares_.Spend(rank, active.estimate);
+      shares_.Spend(work.rank, work.estimate);
     }
-    running_.insert(ticket);
-    ++running_by_rank_[rank];
-    if (active.request.long_running) ++long_running_;
-    BALSAMHALL_INVARIANT(running_.size() <= std::max(1U, options_.slots),
-                         "slots_exceeded", std::to_string(running_.size()));
-    BALSAMHALL_INVARIANT(
-        !active.request.long_running || long_running_ <= LongLimit(),
-        "reservation_broken", std::to_string(long_running_));
+    slots_.Start(ticket, work);
     actions.push_back(StartWork{ticket});
   }
 
-  void ReleaseSlot(const Active& done, bool not_run) {
-    const std::size_t rank = RankIndex(done.request.rank);
+  // Settles the share of the rank and records the service time.
+  void Account(const SlotTable::Work& work, std::uint32_t kind, bool not_run) {
     const auto spent =
-        std::chrono::duration_cast<Microseconds>(now_ - done.started);
-    running_.erase(done.request.ticket);
-    --running_by_rank_[rank];
-    if (done.request.long_running) --long_running_;
-    if (done.ahead_of_turn) shares_.Charge(rank, spent - done.estimate);
+        std::chrono::duration_cast<Microseconds>(now_ - work.started);
+    if (work.ahead_of_turn) shares_.Charge(work.rank, spent - work.estimate);
     // A refusal is quick and says nothing about the service time.
-    if (!not_run) estimator_.Record(done.request.kind, spent, now_);
-  }
-
-  void CancelRunning(Active& active, DispatchActions& actions) {
-    if (std::exchange(active.cancelled, true)) return;
-    actions.push_back(CancelWork{active.request.ticket});
+    if (!not_run) estimator_.Record(kind, spent, now_);
   }
 
   void RejectQueued(Ticket ticket, ResultCode code, DispatchActions& actions) {
@@ -381,7 +333,7 @@
   // Rejects a request that has been taken from the queue, and its repeats.
   void RejectRemoved(Ticket ticket, ResultCode code, DispatchActions& actions) {
     const auto node = active_.extract(ticket);
-    const std::string& id = node.mapped().request.request_id;
+    const std::string& id = node.mapped().request_id;
     actions.push_back(RejectRequest{ticket, code});
     if (auto* entry = memory_.Find(id)) {
       for (const auto& waiter : entry->waiters) {
@@ -396,8 +348,8 @@
   void RejectQueuedIf(Predicate predicate, ResultCode code,
                       DispatchActions& actions) {
     std::vector<Ticket> rejected;
-    for (const auto& [ticket, active] : active_) {
-      if (!active.running && predicate(active.request)) {
+    for (const auto& [ticket, request] : active_) {
+      if (queue_.Contains(ticket) && predicate(request)) {
         rejected.push_back(ticket);
       }
     }
@@ -426,16 +378,14 @@
   bool cold_;
   SteadyTime now_;
   Ramp ramp_;
+  SlotTable slots_;
   RankShares shares_;
   RankQueue queue_;
   ServiceEstimator estimator_;
   RequestMemory memory_;
   std::optional<ResultCode> stopped_;
 
-  std::map<Ticket, Active> active_;  // queued and running
-  std::set<Ticket> running_;
-  std::array<std::uint32_t, kRanks> running_by_rank_{};
-  std::uint32_t long_running_ = 0;
+  std::map<Ticket, DispatchRequest> active_;  // queued and running
   std::map<Ticket, std::string> attached_;  // repeats that wait, by request id
   std::set<std::pair<SteadyTime, Ticket>> attached_deadlines_;
 };
@@ -511,10 +461,12 @@
 }
 
 std::map<PartitionId, SteadyTime> EndpointDispatcher::RunningUntil() const {
-  return impl_->RunningUntil();
+  return impl_->slots().RunningUntil();
 }
 
-std::uint32_t EndpointDispatcher::running() const { return impl_->running(); }
+std::uint32_t EndpointDispatcher::running() const {
+  return impl_->slots().running();
+}
 
 std::size_t EndpointDispatcher::queued() const { return impl_->queued(); }
 
--- a/Source/dispatch/rank_queue.h
+++ b/Source/dispatch/rank_queue.h
@@ -58,6 +58,8 @@
   // Returns false if the ticket is not queued.
   bool Remove(std::uint64_t ticket);
 
+  bool Contains(std::uint64_t ticket) const { return index_.contains(ticket); }
+
   // Removes and returns the tickets whose deadline has passed.
   std::vector<std::uint64_t> RemoveExpired(SteadyTime now);
 
--- /dev/null
+++ b/Source/dispatch/slot_table.h
@@ -0,0 +1,73 @@
+// Running work of an endpoint.
+#ifndef BALSAMHALL_DISPATCH_SLOT_TABLE_H_
+#define BALSAMHALL_DISPATCH_SLOT_TABLE_H_
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "core/types.h"
+#include "dispatch/rank_queue.h"
+
+namespace balsamhall {
+
+// Counts slots exactly. Not thread-safe.
+class SlotTable {
+ public:
+  struct Work {
+    std::size_t rank = 0;
+    bool long_running = false;
+    bool ahead_of_turn = false;  // charged to the floor of its rank
+    bool cancelled = false;
+    std::optional<PartitionId> partition;
+    SteadyTime started;
+    SteadyTime deadline;
+    Microseconds estimate{0};
+  };
+
+  explicit SlotTable(std::uint32_t slots) { set_slots(slots); }
+
+  // Running work above a lowered number goes on.
+  void set_slots(std::uint32_t slots);
+
+  // Slots that long-running work may hold when open slots may be used: one slot
+  // is kept free of it, unless the endpoint has only one.
+  std::uint32_t LongLimit(std::uint32_t open) const;
+
+  // Precondition: a slot is free.
+  void Start(std::uint64_t ticket, const Work& work);
+
+  // Frees the slot and returns the work; nullopt if the ticket is not running.
+  std::optional<Work> Finish(std::uint64_t ticket);
+
+  // Returns true the first time that running work is cancelled.
+  bool Cancel(std::uint64_t ticket);
+
+  // Returns the running tickets whose deadline has passed, not cancelled yet.
+  std::vector<std::uint64_t> Overdue(SteadyTime now) const;
+
+  // Returns the latest deadline of running work by partition.
+  std::map<PartitionId, SteadyTime> RunningUntil() const;
+
+  // Returns the expected rest of the running work, all of it or only what is
+  // long-running.
+  Microseconds Remaining(SteadyTime now, bool only_long) const;
+
+  std::uint32_t slots() const { return slots_; }
+  std::uint32_t running() const {
+    return static_cast<std::uint32_t>(running_.size());
+  }
+  std::uint32_t long_running() const { return long_running_; }
+  const std::array<std::uint32_t, kRanks>& by_rank() const { return by_rank_; }
+
+ private:
+  std::uint32_t slots_ = 1;
+  std::map<std::uint64_t, Work> running_;
+  std::array<std::uint32_t, kRanks> by_rank_{};
+  std::uint32_t long_running_ = 0;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_DISPATCH_SLOT_TABLE_H_
