--- /dev/null
+++ b/Source/dispatch/load_balancer.cc
@@ -0,0 +1,172 @@
+#include "dispatch/load_balancer.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "core/invariant.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr double kWeight = 0.1;  // of one latency in the mean
+// An endpoint that was slow is not picked and not measured; its latency returns
+// to the mean of the others at this half-life, so that it is tried again.
+constexpr double kLatencyHalfLifeSeconds = 5;
+constexpr double kDefaultLatency = 1000;
+constexpr double kMinRampShare = 0.05;
+
+void Add(double& mean, double sample) {
+  mean = mean == 0 ? sample : mean + kWeight * (sample - mean);
+}
+
+}  // namespace
+
+LoadBalancer::LoadBalancer(const BalancerOptions& options, std::uint64_t seed)
+    : options_(options), random_(seed) {}
+
+void LoadBalancer::SetEndpoints(const std::vector<BalancedEndpoint>& endpoints,
+                                SteadyTime now) {
+  std::map<EndpointId, State> next;
+  for (const auto& endpoint : endpoints) {
+    State state;
+    if (const auto known = endpoints_.find(endpoint.id);
+        known != endpoints_.end()) {
+      state = known->second;
+    }
+    const bool restarted = state.config.serving_since != endpoint.serving_since;
+    const bool accepts_again = endpoint.accepting && !state.config.accepting;
+    if (restarted || accepts_again) state.drain_refused = false;
+    if (restarted) {
+      state.ramp =
+          endpoint.cold ? Ramp(endpoint.serving_since, options_.ramp) : Ramp();
+      state.failures = 0;
+      state.ejected_until = now;
+    }
+    state.config = endpoint;
+    next.emplace(endpoint.id, state);
+  }
+  endpoints_ = std::move(next);
+  // A shorter list allows fewer ejections.
+  while (3 * ejected_count(now) > endpoints_.size()) {
+    const auto first =
+        std::ranges::min_element(endpoints_, {}, [now](const auto& entry) {
+          const SteadyTime until = entry.second.ejected_until;
+          return until > now ? until : SteadyTime::max();
+        });
+    first->second.ejected_until = now;
+  }
+}
+
+void LoadBalancer::OnReport(const EndpointId& id, double load, SteadyTime now) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end() || std::isnan(load)) return;
+  found->second.reported = std::clamp(load, 0.0, 1.0);
+  found->second.reported_at = now;
+}
+
+std::optional<EndpointId> LoadBalancer::Pick(const std::set<EndpointId>& avoid,
+                                             SteadyTime now) {
+  std::vector<const State*> local;
+  std::vector<const State*> remote;
+  for (const auto& [id, state] : endpoints_) {
+    if (!state.config.accepting || state.drain_refused ||
+        state.ejected_until > now || avoid.contains(id)) {
+      continue;
+    }
+    (state.config.remote ? remote : local).push_back(&state);
+  }
+  const State* picked = PickAmong(local.empty() ? remote : local, now);
+  if (!picked) return std::nullopt;
+  return picked->config.id;
+}
+
+void LoadBalancer::OnSent(const EndpointId& id) {
+  const auto found = endpoints_.find(id);
+  if (found != endpoints_.end()) ++found->second.in_flight;
+}
+
+void LoadBalancer::OnFinished(const EndpointId& id, BalancerOutcome outcome,
+                              Microseconds latency, SteadyTime now) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end()) return;
+  State& state = found->second;
+  // An endpoint that left the list and came back starts at zero in flight.
+  if (state.in_flight > 0) --state.in_flight;
+  switch (outcome) {
+    case BalancerOutcome::kAnswered:
+      Add(state.latency, static_cast<double>(latency.count()));
+      Add(mean_latency_, static_cast<double>(latency.count()));
+      state.measured = now;
+      state.failures = 0;
+      state.ejections = 0;
+      break;
+    case BalancerOutcome::kRefused:
+      break;
+    case BalancerOutcome::kDraining:
+      state.drain_refused = true;
+      break;
+    case BalancerOutcome::kFailed:
+      // The latency of a failure is not recorded: an endpoint that fails fast
+      // would attract all requests.
+      if (++state.failures >= options_.eject_after) Eject(state, now);
+      break;
+  }
+}
+
+void LoadBalancer::Eject(State& state, SteadyTime now) {
+  if (state.ejected_until > now) return;
+  // With most endpoints failing, the cause is elsewhere, and the rest could not
+  // carry the load.
+  if (3 * (ejected_count(now) + 1) > endpoints_.size()) return;
+  const auto time =
+      std::min(options_.eject_max,
+               options_.eject_for * (1 << std::min(state.ejections, 10U)));
+  ++state.ejections;
+  state.failures = 0;
+  state.ejected_until = now + time;
+  state.ramp = Ramp(state.ejected_until, options_.ramp);
+  BALSAMHALL_INVARIANT(3 * ejected_count(now) <= endpoints_.size(),
+                       "ejection_bound", state.config.id);
+}
+
+bool LoadBalancer::ejected(const EndpointId& id, SteadyTime now) const {
+  const auto found = endpoints_.find(id);
+  return found != endpoints_.end() && found->second.ejected_until > now;
+}
+
+std::size_t LoadBalancer::ejected_count(SteadyTime now) const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      endpoints_,
+      [now](const auto& entry) { return entry.second.ejected_until > now; }));
+}
+
+double LoadBalancer::Latency(const State& state, SteadyTime now) const {
+  const double mean = mean_latency_ > 0 ? mean_latency_ : kDefaultLatency;
+  if (state.latency == 0) return mean;
+  const double idle =
+      std::chrono::duration<double>(now - state.measured).count();
+  const double kept = std::exp2(-std::max(0.0, idle) / kLatencyHalfLifeSeconds);
+  return mean + (state.latency - mean) * kept;
+}
+
+double LoadBalancer::Score(const State& state, SteadyTime now) const {
+  const double share = std::max(kMinRampShare, state.ramp.Share(now));
+  const bool current = state.reported_at + options_.report_lifetime >= now;
+  const double hint = current ? 1 + state.reported : 1;
+  return (state.in_flight + 1) * Latency(state, now) * hint /
+         (share * std::max(1U, state.config.slots));
+}
+
+const LoadBalancer::State* LoadBalancer::PickAmong(
+    const std::vector<const State*>& candidates, SteadyTime now) {
+  if (candidates.empty()) return nullptr;
+  if (candidates.size() == 1) return candidates[0];
+  const std::size_t first = random_() % candidates.size();
+  const std::size_t offset = 1 + random_() % (candidates.size() - 1);
+  const std::size_t second = (first + offset) % candidates.size();
+  return Score(*candidates[first], now) <= Score(*candidates[second], now)
+             ? candidates[first]
+             : candidates[second];
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/dispatch/overload_guard.h
@@ -0,0 +1,49 @@
+// Self-protection of a router that is short of processor time or memory.
+#ifndef BALSAMHALL_DISPATCH_OVERLOAD_GUARD_H_
+#define BALSAMHALL_DISPATCH_OVERLOAD_GUARD_H_
+
+#include <array>
+#include <cstdint>
+
+#include "core/types.h"
+#include "dispatch/rank_queue.h"
+
+namespace balsamhall {
+
+struct OverloadOptions {
+  // Delay of the event loop above which requests are shed.
+  Microseconds target_delay{2000};
+  std::size_t memory_soft = 512U << 20U;  // sheds as a long delay does
+  std::size_t memory_hard = 768U << 20U;  // sheds everything
+  // Share of the admitted requests that a lower rank keeps.
+  std::array<double, kRanks> floors{0, 0.10, 0.05};
+};
+
+// Decides from the head of a request, before its body is read or parsed. Not
+// thread-safe; one per event loop.
+class OverloadGuard {
+ public:
+  explicit OverloadGuard(const OverloadOptions& options);
+
+  // Reports the measured delay of the event loop and the memory in use. Called
+  // at an interval of about 50 ms.
+  void Update(Microseconds loop_delay, std::size_t memory);
+
+  // Returns false if the request is shed (kNotRunRouterOverloaded).
+  bool Admit(schema::Rank rank);
+
+  // Returns the share of a rank's requests that is shed now, floors aside.
+  double Shed(schema::Rank rank) const;
+
+ private:
+  OverloadOptions options_;
+  bool memory_exhausted_ = false;
+  // 0: sheds nothing; 1: all background; 2: normal too; 3: urgent too.
+  double pressure_ = 0;
+  std::array<double, kRanks> admit_credit_{};
+  std::array<double, kRanks> floor_credit_{};
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_DISPATCH_OVERLOAD_GUARD_H_
--- /dev/null
+++ b/Source/dispatch/retry_budget.cc
@@ -0,0 +1,28 @@
+#include "dispatch/retry_budget.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsamhall {
+namespace {
+
+// Tokens that a rank leaves to more urgent ones.
+constexpr std::array<double, kRanks> kLeft{0, 2, 5};
+
+}  // namespace
+
+void RetryBudget::OnRequest() {
+  tokens_ = std::min(kMaxTokens, tokens_ + ratio_);
+}
+
+bool RetryBudget::TryRetry(schema::Rank rank) {
+  if (tokens_ < 1 + kLeft[RankIndex(rank)]) {
+    ++refused_;
+    return false;
+  }
+  tokens_ -= 1;
+  ++allowed_;
+  return true;
+}
+
+}  // namespace balsamhall
