--- /dev/null
+++ b/Source/core/move_planner.cc
@@ -0,0 +1,185 @@
+#include "core/move_planner.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace balsamhall {
+namespace {
+
+constexpr double kDefaultThreshold = 1.10;
+// Below this share of the mean an endpoint counts as nearly empty. Far from 1,
+// so that noise of the measured load causes no moves.
+constexpr double kNearlyEmpty = 0.75;
+// Least gain of a move in shares of the mean, at equal weights.
+constexpr double kLeastGain = 0.005;
+
+struct Target {
+  EndpointId id;
+  double load = 0;
+  double room = 0;  // load that self may add
+};
+
+// Bounds derived from the mean load and the policy.
+struct Bounds {
+  double mean = 0;
+  double trigger = 0;
+  double stop = 0;  // self sheds down to this load
+  double least_gain = 0;
+};
+
+Bounds BoundsOf(double mean, const schema::PolicyConfig& policy) {
+  const double threshold =
+      policy.move_threshold() > 1 ? policy.move_threshold() : kDefaultThreshold;
+  const double churn = policy.churn_weight() > 0 ? policy.churn_weight() : 1;
+  const double service =
+      policy.service_weight() > 0 ? policy.service_weight() : 1;
+  const double weight = std::clamp(churn / service, 0.1, 10.0);
+  return {mean, mean * threshold,
+          mean * (1 + (threshold - 1) * weight / (1 + weight)),
+          mean * kLeastGain * weight};
+}
+
+// Load that an endpoint sheds under these bounds.
+double Excess(const EndpointLoad& endpoint, const Bounds& bounds,
+              bool nearly_empty) {
+  if (endpoint.load > bounds.trigger) return endpoint.load - bounds.stop;
+  if (nearly_empty && endpoint.load > bounds.mean) {
+    return endpoint.load - bounds.mean;
+  }
+  return 0;
+}
+
+using Loads = std::vector<std::pair<double, PartitionId>>;  // ascending
+
+// Returns the partition to move next: the smallest that removes the excess in
+// one move, else the largest that fits.
+Loads::const_iterator BestFit(const Loads& loads, double excess, double room) {
+  const auto enough =
+      std::ranges::lower_bound(loads, excess, {}, &Loads::value_type::first);
+  if (enough != loads.end() && enough->first <= room) return enough;
+  const auto above = std::ranges::upper_bound(loads, std::min(excess, room), {},
+                                              &Loads::value_type::first);
+  return above == loads.begin() ? loads.end() : std::prev(above);
+}
+
+std::vector<PlannedMove> ByLoad(const MovePlanInput& input,
+                                const EndpointLoad& self,
+                                const std::vector<EndpointLoad>& accepting,
+                                const Bounds& bounds) {
+  const bool nearly_empty = std::ranges::any_of(accepting, [&](const auto& e) {
+    return e.load < kNearlyEmpty * bounds.mean;
+  });
+  const double excess_of_all = std::accumulate(
+      accepting.begin(), accepting.end(), 0.0, [&](double sum, const auto& e) {
+        return sum + Excess(e, bounds, nearly_empty);
+      });
+  double excess = Excess(self, bounds, nearly_empty);
+  if (excess <= 0) return {};
+  const double part = std::min(1.0, excess / std::max(excess, excess_of_all));
+
+  std::vector<Target> targets;
+  for (const auto& endpoint : accepting) {
+    const double room = bounds.stop - endpoint.load;
+    if (endpoint.endpoint == self.endpoint || room <= 0) continue;
+    targets.push_back({endpoint.endpoint, endpoint.load, room * part});
+  }
+  Loads loads;
+  for (const auto& [partition, load] : input.partition_load) {
+    loads.emplace_back(load, partition);
+  }
+  std::ranges::sort(loads);
+
+  std::vector<PlannedMove> moves;
+  double load = self.load;
+  while (moves.size() < input.budget && excess > 0 && !targets.empty()) {
+    const auto target = std::ranges::max_element(targets, {}, &Target::room);
+    const auto fit = BestFit(loads, excess, target->room);
+    if (fit == loads.end()) break;
+    const double moved = fit->first;
+    if (load - std::max(load - moved, target->load + moved) <
+        bounds.least_gain) {
+      break;
+    }
+    moves.push_back({fit->second, target->id});
+    loads.erase(fit);
+    load -= moved;
+    excess -= moved;
+    target->load += moved;
+    target->room -= moved;
+  }
+  return moves;
+}
+
+// The one move that lowers the maximum most, for loads that fit nowhere.
+std::vector<PlannedMove> OneMove(const MovePlanInput& input,
+                                 const EndpointLoad& self,
+                                 const std::vector<EndpointLoad>& accepting,
+                                 const Bounds& bounds) {
+  const auto target =
+      std::ranges::min_element(accepting, {}, &EndpointLoad::load);
+  if (self.load <= bounds.trigger || target->endpoint == self.endpoint) {
+    return {};
+  }
+  std::optional<PlannedMove> best;
+  double best_gain = bounds.least_gain;
+  for (const auto& [partition, load] : input.partition_load) {
+    const double gain =
+        self.load - std::max(self.load - load, target->load + load);
+    if (gain > best_gain) {
+      best_gain = gain;
+      best = PlannedMove{partition, target->endpoint};
+    }
+  }
+  if (!best) return {};
+  return {*best};
+}
+
+std::vector<PlannedMove> ByCount(const MovePlanInput& input,
+                                 const EndpointLoad& self,
+                                 std::vector<EndpointLoad> accepting) {
+  const std::size_t low = input.service_partitions / accepting.size();
+  const std::size_t high =
+      (input.service_partitions + accepting.size() - 1) / accepting.size();
+  std::size_t own = self.partitions;
+  std::vector<PlannedMove> moves;
+  for (const auto& [partition, load] : input.partition_load) {
+    const auto target =
+        std::ranges::min_element(accepting, {}, &EndpointLoad::partitions);
+    if (own <= high || target->partitions >= low ||
+        moves.size() >= input.budget) {
+      break;
+    }
+    moves.push_back({partition, target->endpoint});
+    ++target->partitions;
+    --own;
+  }
+  return moves;
+}
+
+}  // namespace
+
+std::vector<PlannedMove> PlanMoves(const MovePlanInput& input) {
+  const auto self =
+      std::ranges::find(input.fleet, input.self, &EndpointLoad::endpoint);
+  std::vector<EndpointLoad> accepting;
+  std::ranges::copy_if(input.fleet, std::back_inserter(accepting),
+                       &EndpointLoad::accepting);
+  // An endpoint that drains is emptied by its own rule, not for balance.
+  if (self == input.fleet.end() || !self->accepting || accepting.size() < 2 ||
+      input.budget == 0) {
+    return {};
+  }
+  const double sum = std::accumulate(
+      accepting.begin(), accepting.end(), 0.0,
+      [](double total, const auto& endpoint) { return total + endpoint.load; });
+  if (sum <= 0) return ByCount(input, *self, accepting);
+  const Bounds bounds =
+      BoundsOf(sum / static_cast<double>(accepting.size()), input.policy);
+  auto moves = ByLoad(input, *self, accepting, bounds);
+  if (moves.empty()) moves = OneMove(input, *self, accepting, bounds);
+  return moves;
+}
+
+}  // namespace balsamhall
