--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -39,7 +39,7 @@
       : executor_(loop.get_executor()),
         address_(std::move(address)),
         endpoint_(http_wire::ParseAddress(address_)),
-        options_(options) {}
+        options_(std::move(options)) {}
 
   void Send(HttpRequest request, Milliseconds timeout, Callback done);
   // Starts an exchange on a new connection.
@@ -236,6 +236,11 @@
       message.keep_alive() && !write_failed_ && buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
                         std::move(message.body())};
+  const auto& accept = client_->options_.accept_answer;
+  if (accept && !accept(request_, response)) {
+    return FinishFailed(HttpFailure::kBadAnswer,
+                        "answer does not belong to the request");
+  }
   Finish({std::move(response), {}}, reusable);
 }
 
@@ -321,7 +326,8 @@
 
 HttpClient::HttpClient(asio::io_context& loop, std::string address,
                        HttpClientOptions options)
-    : impl_(std::make_shared<Impl>(loop, std::move(address), options)) {}
+    : impl_(std::make_shared<Impl>(loop, std::move(address),
+                                   std::move(options))) {}
 
 // Cancelling a timer and closing a socket do not throw on Linux.
 // NOLINTNEXTLINE(bugprone-exception-escape)
@@ -332,6 +338,10 @@
   impl_->Send(std::move(request), timeout, std::move(done));
 }
 
+void HttpClient::RetireConnections() {
+  impl_->CloseOlderThan(impl_->last_number_);
+}
+
 std::size_t HttpClient::open_connections() const {
   return impl_->connections_.size();
 }
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -22,6 +22,9 @@
   std::size_t max_connections = 100;
   Milliseconds connect_timeout{500};
   std::size_t max_body_bytes = 8U << 20U;
+  // Returns false for an answer that does not belong to the request. It then
+  // counts as kBadAnswer, and the connection is closed.
+  std::function<bool(const HttpRequest&, const HttpResponse&)> accept_answer;
 };
 
 // How far a failed exchange got.
@@ -62,6 +65,10 @@
   // kNotSent.
   void Send(HttpRequest request, Milliseconds timeout, Callback done);
 
+  // Closes idle connections now and those in use after their exchange; for
+  // callers that learned by other means that connections may be silent.
+  void RetireConnections();
+
   std::size_t open_connections() const;
 
  private:
--- /dev/null
+++ b/Source/platform/http_log_service.h
@@ -0,0 +1,29 @@
+// The platform's log over HTTP.
+#ifndef BALSAMHALL_PLATFORM_HTTP_LOG_SERVICE_H_
+#define BALSAMHALL_PLATFORM_HTTP_LOG_SERVICE_H_
+
+#include <string>
+
+#include "net/http_client.h"
+#include "platform/log_service.h"
+
+namespace balsamhall {
+
+// Callbacks run on the loop's thread; pending ones are dropped when the object
+// is destroyed.
+class HttpLogService : public LogService {
+ public:
+  HttpLogService(boost::asio::io_context& loop, std::string address);
+
+  void Append(const std::string& writer, std::uint64_t sequence,
+              const std::string& payload, AppendCallback done) override;
+  void Read(std::uint64_t from, std::size_t max_entries, Milliseconds wait,
+            ReadCallback done) override;
+
+ private:
+  HttpClient client_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_PLATFORM_HTTP_LOG_SERVICE_H_
--- /dev/null
+++ b/Source/platform/http_vm_list.h
@@ -0,0 +1,26 @@
+// The platform's list of VMs over HTTP.
+#ifndef BALSAMHALL_PLATFORM_HTTP_VM_LIST_H_
+#define BALSAMHALL_PLATFORM_HTTP_VM_LIST_H_
+
+#include <string>
+
+#include "net/http_client.h"
+#include "platform/vm_list.h"
+
+namespace balsamhall {
+
+// Callbacks run on the loop's thread; pending ones are dropped when the object
+// is destroyed.
+class HttpVmList : public VmList {
+ public:
+  HttpVmList(boost::asio::io_context& loop, std::string address);
+
+  void Fetch(Callback done) override;
+
+ private:
+  HttpClient client_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_PLATFORM_HTTP_VM_LIST_H_
