platform: make the partition of work optional

LeaseHolder checks only term and lease for idempotent work in services that are not divided by key; such work must carry no partition header, so WorkRequest::partition becomes optional. HttpRequest names the server's connection and HttpResponse may declare its own Content-Length, which the stand-ins need for silent connections and truncated answers.

--- a/Source/core/endpoint_backup.cc
+++ b/Source/core/endpoint_backup.cc
@@ -61,8 +61,8 @@
     retired_ = true;
     return response;
   }
-  const bool restarted = response.view().endpoint_incarnation() !=
-                         view_.endpoint_incarnation();
+  const bool restarted =
+      response.view().endpoint_incarnation() != view_.endpoint_incarnation();
   // The endpoint is past the attempted term, or the process that may have
   // accepted it is gone.
   if (attempted_ && (term >= *attempted_ || restarted)) attempted_.reset();
@@ -95,8 +95,8 @@
       static_cast<std::uint32_t>(context_->options().lease.count()));
   request.set_lease_from_us(response.holder_time_us());
   attempted_ = previous.Next();
-  lease_bound_ = std::max(lease_bound_,
-                          LeaseBound(context_->options(), context_->now()));
+  lease_bound_ =
+      std::max(lease_bound_, LeaseBound(context_->options(), context_->now()));
   last_probe_ = context_->now();
   context_->Emit(SendGrant{view_.endpoint(), std::move(request)});
 }
--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -67,8 +67,7 @@
     const bool has_target = !record.target_endpoint().empty() &&
                             record.target_endpoint() != kRefusedTarget;
     if (held || !has_target ||
-        context->HighestEpoch(primary.service_, record.partition()) >=
-                    next) {
+        context->HighestEpoch(primary.service_, record.partition()) >= next) {
       continue;
     }
     // The old primary may not have finished this transfer.
@@ -126,12 +125,12 @@
   }
   for (const auto& [partition, record] : history_) {
     const auto outgoing = transfers_.outgoing().find(partition);
-    const bool unrecorded = outgoing != transfers_.outgoing().end() &&
-                            !outgoing->second.recorded;
+    const bool unrecorded =
+        outgoing != transfers_.outgoing().end() && !outgoing->second.recorded;
     if (send_history_ || unrecorded) *request.add_history() = record;
   }
-  lease_bound_ = std::max(lease_bound_,
-                          LeaseBound(context_->options(), *holder_time_at_));
+  lease_bound_ =
+      std::max(lease_bound_, LeaseBound(context_->options(), *holder_time_at_));
   in_flight_grant_ = request.sequence();
   last_grant_ = context_->now();
   state_changed_ = false;
@@ -238,8 +237,8 @@
   view.set_endpoint_incarnation(response.view().endpoint_incarnation());
   *view.mutable_term() = ToProto(std::max(Term(), current).Next());
   if (current.offset >= Term().offset && !current.IsZero() &&
-      current > Term() && !SameRef(response.view().primary(),
-                                   context_->self())) {
+      current > Term() &&
+      !SameRef(response.view().primary(), context_->self())) {
     Demote(false);
     return;
   }
@@ -271,8 +270,7 @@
   // While a transfer is open, a new primary could not know its target.
   if (!transfers_.empty()) return;
   if (proposed_) {
-    proposed_->set_endpoint_incarnation(
-        response.view().endpoint_incarnation());
+    proposed_->set_endpoint_incarnation(response.view().endpoint_incarnation());
     proposed_previous_ = FromProto(response.view().term());
     const Fence term = FromProto(proposed_->term());
     if (proposed_previous_ >= term) {
@@ -320,8 +318,8 @@
   if (response.full_state()) {
     ApplyState(response);
   } else {
-    const auto acked = std::ranges::count_if(
-        holdings_ | std::views::values, &Holding::acked);
+    const auto acked =
+        std::ranges::count_if(holdings_ | std::views::values, &Holding::acked);
     if (static_cast<std::uint32_t>(acked) != response.held_count()) {
       state_changed_ = true;
       SendProbe();
@@ -343,9 +341,8 @@
     if (holding == holdings_.end() || epoch < holding->second.epoch) continue;
     // Released as asked for, or released before under a later epoch.
     if (epoch == holding->second.epoch && holding->second.releasing) {
-      transfers_.Add(partition,
-                     {epoch.Next(), record.target_endpoint(), context_->now(),
-                      true, holding->second.cause});
+      transfers_.Add(partition, {epoch.Next(), record.target_endpoint(),
+                                 context_->now(), true, holding->second.cause});
     }
     history_[partition] = record;
     holdings_.erase(holding);
@@ -457,11 +454,12 @@
   phase_ = Phase::kEvicting;
   context_->RoutingDirty();
   context_->Emit(StopDispatch{endpoint(), Term()});
-  context_->Emit(ReportEvent{"endpoint_evicted",
-                             ResultCode::kBackendUnavailable,
-                             {{"endpoint", endpoint()},
-                              {"term", Term().ToString()},
-                              {"partitions", std::to_string(holdings_.size())}}});
+  context_->Emit(
+      ReportEvent{"endpoint_evicted",
+                  ResultCode::kBackendUnavailable,
+                  {{"endpoint", endpoint()},
+                   {"term", Term().ToString()},
+                   {"partitions", std::to_string(holdings_.size())}}});
 }
 
 void EndpointPrimary::OnDispatchStopped(const DispatchStopped& stopped) {
@@ -478,8 +476,9 @@
     if (context_->options().removed_guards.contains(Guard::kLeaseWait)) {
       not_before = context_->now();
     }
-    transfers_.Add(partition, {holding.epoch.Next(), {}, not_before, true,
-                               "endpoint_lost"});
+    transfers_.Add(
+        partition,
+        {holding.epoch.Next(), {}, not_before, true, "endpoint_lost"});
     schema::ReleasedPartition record;
     record.set_partition(partition);
     *record.mutable_epoch() = ToProto(holding.epoch);
@@ -608,12 +607,12 @@
     const auto record = history_.find(partition);
     if (check_order && record != history_.end() &&
         FromProto(record->second.epoch()) >= epoch) {
-      const bool was_refused = record->second.target_endpoint() == kRefusedTarget;
+      const bool was_refused =
+          record->second.target_endpoint() == kRefusedTarget;
       *(was_refused ? refused : done).add_partitions() = entry;
       continue;
     }
-    if (check_order &&
-        context_->HighestEpoch(service_, partition) > epoch) {
+    if (check_order && context_->HighestEpoch(service_, partition) > epoch) {
       *done.add_partitions() = entry;
       continue;
     }
@@ -680,10 +679,10 @@
 }
 
 void EndpointPrimary::AddAssigned(PartitionId partition, const Fence& epoch) {
-  const bool known =
-      holdings_.contains(partition) || history_.contains(partition) ||
-      transfers_.outgoing().contains(partition) ||
-      context_->HighestEpoch(service_, partition) >= epoch;
+  const bool known = holdings_.contains(partition) ||
+                     history_.contains(partition) ||
+                     transfers_.outgoing().contains(partition) ||
+                     context_->HighestEpoch(service_, partition) >= epoch;
   if (known || demoted_ || phase_ == Phase::kEvicting ||
       phase_ == Phase::kEvicted) {
     return;
@@ -698,9 +697,10 @@
   if (draining_ == draining) return;
   draining_ = draining;
   context_->RoutingDirty();
-  context_->Emit(ReportEvent{draining ? "endpoint_draining" : "endpoint_serving",
-                             ResultCode::kOk,
-                             {{"endpoint", endpoint()}}});
+  context_->Emit(
+      ReportEvent{draining ? "endpoint_draining" : "endpoint_serving",
+                  ResultCode::kOk,
+                  {{"endpoint", endpoint()}}});
 }
 
 void EndpointPrimary::TickDrain() {
@@ -732,9 +732,7 @@
   }
 }
 
-void EndpointPrimary::RequestHandover() {
-  handover_ = true;
-}
+void EndpointPrimary::RequestHandover() { handover_ = true; }
 
 void EndpointPrimary::TickHandover() {
   if (!handover_ || phase_ != Phase::kServing || proposed_ || Suspected()) {
@@ -757,10 +755,10 @@
   holdings_.clear();
   waiting_.clear();
   context_->RoutingDirty();
-  context_->Emit(ReportEvent{
-      "primary_demoted",
-      ResultCode::kOk,
-      {{"endpoint", endpoint()}, {"term", Term().ToString()}}});
+  context_->Emit(
+      ReportEvent{"primary_demoted",
+                  ResultCode::kOk,
+                  {{"endpoint", endpoint()}, {"term", Term().ToString()}}});
 }
 
 // ---- Time, load and reports -------------------------------------------------
@@ -779,10 +777,9 @@
   const Milliseconds interval = context_->options().renewal_interval;
   const bool due = context_->now() >= last_grant_ + interval;
   if (!due && !state_changed_) return;
-  const bool probe_only =
-      phase_ == Phase::kEvicting ||
-      (phase_ == Phase::kEvicted && !proposed_) ||
-      (phase_ == Phase::kBinding && !proposed_);
+  const bool probe_only = phase_ == Phase::kEvicting ||
+                          (phase_ == Phase::kEvicted && !proposed_) ||
+                          (phase_ == Phase::kBinding && !proposed_);
   if (!probe_only) {
     SendGrantNow();
   } else if (due) {
--- a/Source/core/fleet_register.cc
+++ b/Source/core/fleet_register.cc
@@ -107,8 +107,7 @@
   for (const std::string& vm : listed_) {
     if (now_listed.contains(vm)) continue;
     const auto router = routers_.find(vm);
-    dropped_[vm] =
-        router == routers_.end() ? 0 : router->second.incarnation;
+    dropped_[vm] = router == routers_.end() ? 0 : router->second.incarnation;
   }
   for (const std::string& vm : now_listed) {
     // A router of a relisted VM is judged by its incarnation, not by the list.
--- a/Source/core/transfer_sender.h
+++ b/Source/core/transfer_sender.h
@@ -24,8 +24,7 @@
     std::string cause;
   };
 
-  TransferSender(ControlContext* context, ServiceId service,
-                 EndpointId source);
+  TransferSender(ControlContext* context, ServiceId service, EndpointId source);
 
   void Add(PartitionId partition, Outgoing outgoing);
   void Tick();
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -85,6 +85,7 @@
   asio::basic_socket_acceptor<tcp, Executor> acceptor_;
   Timer sweep_timer_;
   Timer retry_timer_;
+  std::uint64_t last_connection_ = 0;
   Clock::time_point drain_started_;
   std::function<void()> drained_;
 };
@@ -95,8 +96,10 @@
 class HttpServer::Impl::Session
     : public std::enable_shared_from_this<HttpServer::Impl::Session> {
  public:
-  Session(std::shared_ptr<Impl> server, Socket socket)
-      : server_(std::move(server)), socket_(std::move(socket)) {}
+  Session(std::shared_ptr<Impl> server, Socket socket, std::uint64_t number)
+      : server_(std::move(server)),
+        socket_(std::move(socket)),
+        number_(number) {}
 
   void ReadHead();
   void Respond(std::uint64_t exchange, HttpResponse response);
@@ -122,6 +125,7 @@
 
   std::shared_ptr<Impl> server_;
   Socket socket_;
+  const std::uint64_t number_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string head_;
@@ -153,7 +157,7 @@
   const auto target = message.target();
   return {std::string(method.data(), method.size()),
           std::string(target.data(), target.size()),
-          http_wire::CopyHeaders(message), std::string()};
+          http_wire::CopyHeaders(message), std::string(), number_};
 }
 
 void HttpServer::Impl::Session::OnHead(error_code error) {
@@ -240,7 +244,10 @@
 }
 
 void HttpServer::Impl::Session::Write(HttpResponse response) {
-  keep_alive_ = keep_alive_ && !server_->draining_;
+  const auto declared = FindHeader(response.headers, "Content-Length");
+  keep_alive_ =
+      keep_alive_ && !server_->draining_ &&
+      (declared.empty() || declared == std::to_string(response.body.size()));
   head_ = http_wire::ResponseHead(response, keep_alive_);
   body_ = std::move(response.body);
   Enter(State::kWriting, server_->options_.transfer_timeout);
@@ -377,8 +384,8 @@
     socket.write_some(asio::buffer(text), ignored);
     return;
   }
-  auto session =
-      std::make_shared<Session>(shared_from_this(), std::move(socket));
+  auto session = std::make_shared<Session>(
+      shared_from_this(), std::move(socket), ++last_connection_);
   sessions_.insert(session);
   session->ReadHead();
 }
--- a/Source/net/http_types.h
+++ b/Source/net/http_types.h
@@ -2,6 +2,7 @@
 #ifndef BALSAMHALL_NET_HTTP_TYPES_H_
 #define BALSAMHALL_NET_HTTP_TYPES_H_
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -19,10 +20,13 @@
   std::string target;
   HttpHeaders headers;
   std::string body;
+  std::uint64_t connection = 0;  // number of the server's connection
 };
 
 struct HttpResponse {
   unsigned status = 200;
+  // A Content-Length set here replaces the length of the body, as in an answer
+  // to HEAD; if they differ, the server closes the connection after it.
   HttpHeaders headers;
   std::string body;
 };
--- a/Source/net/http_wire.cc
+++ b/Source/net/http_wire.cc
@@ -17,6 +17,7 @@
     if (HasLineBreak(name) || HasLineBreak(value)) continue;
     head.append(name).append(": ").append(value).append("\r\n");
   }
+  if (!FindHeader(headers, "Content-Length").empty()) return;
   head.append("Content-Length: ")
       .append(std::to_string(body_bytes))
       .append("\r\n");
--- a/Source/platform/backend_service.h
+++ b/Source/platform/backend_service.h
@@ -3,6 +3,7 @@
 #define BALSAMHALL_PLATFORM_BACKEND_SERVICE_H_
 
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "core/result_code.h"
@@ -15,7 +16,8 @@
   std::string key;
   std::string request_id;
   Fence term;
-  PartitionId partition = 0;
+  // Empty for idempotent work in a service that is not divided by key.
+  std::optional<PartitionId> partition;
   Fence epoch;
   bool fenced = true;  // false: no term, partition and epoch headers
   Milliseconds remaining{0};
--- a/Source/platform/http_backend_service.cc
+++ b/Source/platform/http_backend_service.cc
@@ -52,8 +52,10 @@
                        std::to_string(work.remaining.count()));
   if (work.fenced) {
     headers.emplace_back("Balsamhall-Term", work.term.ToString());
+  }
+  if (work.fenced && work.partition) {
     headers.emplace_back("Balsamhall-Partition",
-                         std::to_string(work.partition));
+                         std::to_string(*work.partition));
     headers.emplace_back("Balsamhall-Epoch", work.epoch.ToString());
   }
   if (!work.traceparent.empty()) {
@@ -162,10 +164,11 @@
 }
 
 template <typename Message>
-void HttpBackendService::Control(HttpRequest request, Milliseconds timeout,
+void HttpBackendService::Control(const HttpRequest& request,
+                                 Milliseconds timeout,
                                  std::function<void(Result<Message>)> done) {
   control_.Send(
-      std::move(request), timeout,
+      request, timeout,
       [this, done = std::move(done)](const HttpClient::Outcome& outcome) {
         if (!outcome.response &&
             outcome.error.failure == HttpFailure::kTimeout) {
--- a/Source/platform/http_backend_service.h
+++ b/Source/platform/http_backend_service.h
@@ -41,7 +41,7 @@
 
  private:
   template <typename Message>
-  void Control(HttpRequest request, Milliseconds timeout,
+  void Control(const HttpRequest& request, Milliseconds timeout,
                std::function<void(Result<Message>)> done);
 
   HttpClient work_;
