--- a/Source/core/config_register.cc
+++ b/Source/core/config_register.cc
@@ -82,6 +82,7 @@
     snapshot.set_version(offset);
     snapshot.set_digest(publication.digest());
     snapshot.set_body(publication.body());
+    snapshot.set_author(publication.author());
     Adopt(std::move(snapshot), std::move(config).value());
     return ConfigVerdict::kAccepted;
   }();
