Move partitions by measured load under a churn budget

Cause: an endpoint kept its first partitions whatever their load. Each primary now plans its own moves every 5 s with PlanMoves, within its part of the service's churn budget.

--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -242,19 +242,28 @@
   return table_.HighestEpoch(service, partition);
 }
 
-std::map<PartitionId, EndpointId> OwnershipController::Impl::Targets(
-    const ServiceId& service, const std::map<PartitionId, double>& partitions,
-    const EndpointId& exclude) const {
-  const auto found = services_.find(service);
-  if (found == services_.end()) return {};
+std::vector<EndpointLoad> OwnershipController::Impl::FleetLoads(
+    const schema::ServiceConfig& service) const {
   std::vector<EndpointLoad> fleet;
-  for (const auto& endpoint : found->second.config->endpoints()) {
+  for (const auto& endpoint : service.endpoints()) {
     const schema::EndpointRouting* routing = table_.Find(endpoint.name());
-    if (routing == nullptr || endpoint.name() == exclude) continue;
+    if (routing == nullptr) continue;
     fleet.push_back({endpoint.name(), routing->load(),
                      static_cast<std::size_t>(routing->partitions_size()),
                      routing->accepting()});
   }
+  return fleet;
+}
+
+std::map<PartitionId, EndpointId> OwnershipController::Impl::Targets(
+    const ServiceId& service, const std::map<PartitionId, double>& partitions,
+    const EndpointId& exclude) const {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return {};
+  std::vector<EndpointLoad> fleet = FleetLoads(*found->second.config);
+  std::erase_if(fleet, [&](const EndpointLoad& load) {
+    return load.endpoint == exclude;
+  });
   return ChooseTargets(partitions, std::move(fleet));
 }
 
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -13,6 +13,8 @@
 #include <vector>
 
 #include "core/append_deduplicator.h"
+#include "core/assignment_planner.h"
+#include "core/churn_budget.h"
 #include "core/config_register.h"
 #include "core/control_context.h"
 #include "core/endpoint_backup.h"
@@ -70,6 +72,7 @@
     const schema::ServiceConfig* config = nullptr;
     SteadyTime unowned_since;  // first views or owners are missing since
     SteadyTime bootstrap_sent;
+    std::optional<ChurnBudget> churn;  // this router's part of the budget
   };
   struct PendingReset {
     SteadyTime since;  // the primary is known to be gone since
@@ -147,6 +150,9 @@
   void TickPlacement();
   void TickShutdown();
   void TickRebalance();
+  void Rebalance(const ServiceId& service, ServiceEntry* entry);
+  std::vector<EndpointLoad> FleetLoads(
+      const schema::ServiceConfig& service) const;
   EndpointPrimary* FindPrimary(const EndpointId& endpoint);
   void StartPrimary(EndpointPrimary primary);
   void StartBackup(const schema::View& view);
--- a/Source/core/controller_roles.cc
+++ b/Source/core/controller_roles.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "core/controller_impl.h"
+#include "core/move_planner.h"
 
 namespace balsamhall {
 namespace {
@@ -122,7 +123,44 @@
   }
 }
 
-void OwnershipController::Impl::TickRebalance() {}
+void OwnershipController::Impl::TickRebalance() {
+  if (now_ < last_rebalance_ + options_.rebalance_interval || shutdown_since_) {
+    return;
+  }
+  last_rebalance_ = now_;
+  for (auto& [service, entry] : services_) Rebalance(service, &entry);
+}
+
+void OwnershipController::Impl::Rebalance(const ServiceId& service,
+                                          ServiceEntry* entry) {
+  const auto own = std::ranges::count_if(primaries_, [&](const auto& item) {
+    return item.second->service() == service;
+  });
+  if (own == 0) return;
+  const schema::ServiceConfig& config = *entry->config;
+  const schema::PolicyConfig& policy = config_.config().policy();
+  // The service's budget is divided by the endpoints that each router plans.
+  const double per_minute = policy.churn_per_minute() * config.partitions() *
+                            static_cast<double>(own) / config.endpoints_size();
+  if (!entry->churn) entry->churn.emplace(per_minute, now_);
+  entry->churn->set_per_minute(per_minute, now_);
+  for (const auto& [endpoint, primary] : primaries_) {
+    if (primary->service() != service || primary->moving() > 0) continue;
+    MovePlanInput input;
+    input.self = endpoint;
+    input.partition_load = primary->MovablePartitions();
+    input.fleet = FleetLoads(config);
+    input.policy = policy;
+    input.service_partitions = config.partitions();
+    input.budget = entry->churn->Available(now_);
+    if (input.partition_load.empty() || input.budget == 0) continue;
+    const std::vector<PlannedMove> moves = PlanMoves(input);
+    entry->churn->Take(moves.size(), now_);
+    for (const PlannedMove& move : moves) {
+      primary->Release(move.partition, move.target, "load");
+    }
+  }
+}
 
 void OwnershipController::Impl::TickShutdown() {
   if (!shutdown_since_ || stopped_) return;
