Add the hand-over path of endpoints that do not check fences

Such an endpoint cannot refuse an old router. Its backup keeps its state as a witness, the primary dispatches only for the authority time after an acknowledged grant, and a takeover or a new backup is the first reset record in the log.

--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -64,6 +64,11 @@
     }
     if (send->to.empty()) return;
   }
+  if (auto* grant = std::get_if<SendGrant>(&action);
+      grant != nullptr && !ChecksFences(grant->endpoint)) {
+    SendWitnessGrant(std::move(*grant));
+    return;
+  }
   actions_.push_back(std::move(action));
 }
 
@@ -86,6 +91,11 @@
   next->config_digest = config_.current().digest();
   next->policy = config_.config().policy();
   table_.Fill(config_.config(), next.get());
+  for (const auto& [endpoint, primary] : primaries_) {
+    const auto route = next->endpoints.find(endpoint);
+    if (route == next->endpoints.end()) continue;
+    route->second.authority_until = primary->authority_until();
+  }
   for (const auto& [id, router] : fleet_.routers()) {
     if (router.left) continue;
     const RouterRef ref{id, router.incarnation};
@@ -104,6 +114,7 @@
   TickJoin();
   TickBootstrap();
   TickResets();
+  TickUnfenced();
   TickRoles();
   TickDrain();
   TickPlacement();
@@ -138,6 +149,7 @@
 
 void OwnershipController::Impl::On(const HealthReportReceived& event) {
   health_[event.report.endpoint()] = event.report;
+  health_at_[event.report.endpoint()] = now_;
   if (!event.report.draining()) drain_refused_.erase(event.report.endpoint());
 }
 
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -25,6 +25,7 @@
 #include "core/membership.h"
 #include "core/ownership_controller.h"
 #include "core/routing_table.h"
+#include "core/witness.h"
 
 namespace balsamhall {
 
@@ -78,6 +79,14 @@
     SteadyTime since;  // the primary is known to be gone since
     std::optional<SteadyTime> sent;
   };
+  // The log named this router for an endpoint that does not check fences; it
+  // waits until the old primary can't dispatch any more.
+  struct Takeover {
+    ServiceId service;
+    schema::View view;
+    SteadyTime at;
+    schema::GrantResponse state;
+  };
   struct BufferedRecord {
     std::uint64_t offset = 0;
     schema::LogRecord record;
@@ -118,6 +127,17 @@
   bool LogUsable() const;
   bool AppendIsDue(SteadyTime copied_at, const std::string& topic) const;
 
+  void StartReset(const schema::View& view);
+
+  // Endpoints without fence checks, in controller_unfenced.cc.
+  bool ChecksFences(const EndpointId& endpoint) const;
+  void SendWitnessGrant(SendGrant grant);
+  void OnWitnessRequest(const RouterRef& from,
+                        const schema::GrantRequest& request);
+  void OnUnfencedReset(const schema::View& view);
+  void TickUnfenced();
+  void RequestReset(const EndpointId& endpoint, const std::string& proof);
+
   // Peer messages, in controller_peers.cc.
   void OnPeer(const schema::PeerMessage& message);
   void OnHeartbeat(const schema::Heartbeat& heartbeat);
@@ -220,7 +240,11 @@
   std::map<EndpointId, PendingReset> pending_resets_;
   std::map<EndpointId, Fence> promises_;
   std::map<EndpointId, schema::HealthReport> health_;
+  std::map<EndpointId, SteadyTime> health_at_;
   std::set<EndpointId> drain_refused_;
+  std::map<EndpointId, Witness> witnesses_;
+  std::map<EndpointId, Takeover> takeovers_;
+  std::set<EndpointId> handover_asked_;
   SteadyTime last_health_;
   SteadyTime last_placement_;
   SteadyTime last_rebalance_;
--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -194,7 +194,7 @@
       StartPrimary(EndpointPrimary(
           this, {endpoint->second.first->name(), view, {}, {}, false, {}}));
       AddAssignedPartitions(FindPrimary(view.endpoint()));
-    } else if (SameRef(view.backup(), self_)) {
+    } else if (SameRef(view.backup(), self_) && ChecksFences(view.endpoint())) {
       StartBackup(view);
     }
   }
@@ -226,15 +226,25 @@
 void OwnershipController::Impl::OnResetAccepted(const schema::View& view) {
   const EndpointId& endpoint = view.endpoint();
   pending_resets_.erase(endpoint);
+  handover_asked_.erase(endpoint);
   table_.NoteView(view);
+  if (!ChecksFences(endpoint)) {
+    OnUnfencedReset(view);
+    return;
+  }
   RetirePrimary(endpoint, true);
   resets_.erase(endpoint);
   Fence& promise = Promise(endpoint);
   promise = std::max(promise, FromProto(view.term()));
   const auto backup = backups_.find(endpoint);
   if (backup != backups_.end()) backup->second.RaisePromise(promise);
+  if (SameRef(view.primary(), self_)) StartReset(view);
+}
+
+void OwnershipController::Impl::StartReset(const schema::View& view) {
+  const EndpointId& endpoint = view.endpoint();
   const auto config = endpoints_.find(endpoint);
-  if (!SameRef(view.primary(), self_) || config == endpoints_.end()) return;
+  if (config == endpoints_.end()) return;
   const ServiceId& service = config->second.first->name();
   const Milliseconds lapse = std::chrono::duration_cast<Milliseconds>(
                                  LeaseBound(options_, now_) - now_) +
@@ -394,16 +404,22 @@
   for (const auto& [endpoint, config] : endpoints_) {
     const auto view = table_.KnownView(endpoint);
     if (!view || fleet_.BaseView(endpoint) == nullptr ||
-        resets_.contains(endpoint)) {
+        resets_.contains(endpoint) || takeovers_.contains(endpoint)) {
       continue;
     }
     const EndpointPrimary* primary = FindPrimary(endpoint);
-    const bool lost = primary != nullptr ? primary->NeedsReset()
-                                         : IsGone(FromProto(view->primary()));
-    if (!lost) {
+    // The backup of an endpoint without fence checks takes over by itself.
+    const bool backup_acts = !config.second->checks_fences() &&
+                             !IsGone(FromProto(view->backup())) &&
+                             !view->backup().id().empty();
+    const bool lost = primary != nullptr
+                          ? primary->NeedsReset()
+                          : IsGone(FromProto(view->primary())) && !backup_acts;
+    if (!lost && !witnesses_.contains(endpoint)) {
       pending_resets_.erase(endpoint);
       continue;
     }
+    if (!lost) continue;
     const auto [pending, inserted] =
         pending_resets_.try_emplace(endpoint, PendingReset{now_, {}});
     const bool repeat =
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -69,6 +69,15 @@
       return OnStateRequest(from);
     case schema::PeerMessage::kStateReply:
       return OnStateReply(message.state_reply());
+    case schema::PeerMessage::kWitnessRequest:
+      return OnWitnessRequest(from, message.witness_request());
+    case schema::PeerMessage::kWitnessReply: {
+      EndpointPrimary* primary =
+          FindPrimary(message.witness_reply().endpoint());
+      if (primary == nullptr) return;
+      primary->OnGrantResponse(message.witness_reply().response());
+      return;
+    }
     default:
       // Forwarded requests do not reach the control thread.
       return;
@@ -172,6 +181,7 @@
     if (!replaced) return;
     RetirePrimary(endpoint, false);
   }
+  if (!ChecksFences(endpoint)) return;
   if (SameRef(view.backup(), self_)) StartBackup(view);
   const auto backup = backups_.find(endpoint);
   if (backup != backups_.end()) backup->second.OnView(view);
@@ -224,6 +234,10 @@
 void OwnershipController::Impl::OnHandover(const schema::Handover& handover) {
   const EndpointId& endpoint = handover.view().endpoint();
   if (FindPrimary(endpoint) != nullptr || shutdown_since_) return;
+  if (!ChecksFences(endpoint)) {
+    if (witnesses_.contains(endpoint)) handover_asked_.insert(endpoint);
+    return;
+  }
   StartBackup(handover.view());
   const auto backup = backups_.find(endpoint);
   if (backup != backups_.end()) backup->second.OnHandover(handover);
--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -30,7 +30,13 @@
       transfers_(context, service_, view_.endpoint()),
       last_response_(context->now()),
       serving_since_(context->now()),
+      started_at_(context->now()),
       evict_at_(start.evict_at) {
+  const schema::EndpointConfig* config = context->FindEndpoint(endpoint());
+  fenced_ = config == nullptr || config->checks_fences();
+  if (!fenced_) {
+    authority_until_ = std::make_shared<std::atomic<SteadyTime::rep>>(0);
+  }
   for (const auto& [partition, epoch] : start.partitions) {
     holdings_[partition] = Holding{epoch, false, false, {}, {}};
   }
@@ -61,26 +67,43 @@
     holding->second.releasing = true;
     holding->second.cause = "failover";
   }
-  for (const auto& record : response.released()) {
-    primary.history_[record.partition()] = record;
+  primary.ResumeTransfers(response, context->now());
+  primary.last_response_sequence_ = response.sequence();
+  primary.holder_time_us_ = response.holder_time_us();
+  primary.holder_time_at_ = context->now();
+  primary.OnAccepted(response);
+  return primary;
+}
+
+EndpointPrimary EndpointPrimary::AfterTakeover(
+    ControlContext* context, ServiceId service, schema::View view,
+    const schema::GrantResponse& state) {
+  Start start{std::move(service), std::move(view), {}, {}, true, {}};
+  for (const auto& held : state.held()) {
+    start.partitions[held.partition()] = FromProto(held.epoch());
+  }
+  EndpointPrimary primary(context, std::move(start));
+  primary.send_history_ = true;
+  primary.ResumeTransfers(state, context->now());
+  return primary;
+}
+
+void EndpointPrimary::ResumeTransfers(const schema::GrantResponse& state,
+                                      SteadyTime not_before) {
+  for (const auto& record : state.released()) {
+    history_[record.partition()] = record;
     const Fence next = FromProto(record.epoch()).Next();
-    const bool held = primary.holdings_.contains(record.partition());
+    const bool held = holdings_.contains(record.partition());
     const bool has_target = !record.target_endpoint().empty() &&
                             record.target_endpoint() != kRefusedTarget;
     if (held || !has_target ||
-        context->HighestEpoch(primary.service_, record.partition()) >= next) {
+        context_->HighestEpoch(service_, record.partition()) >= next) {
       continue;
     }
     // The old primary may not have finished this transfer.
-    primary.transfers_.Add(
-        record.partition(),
-        {next, record.target_endpoint(), context->now(), true, "failover"});
+    transfers_.Add(record.partition(), {next, record.target_endpoint(),
+                                        not_before, true, "failover"});
   }
-  primary.last_response_sequence_ = response.sequence();
-  primary.holder_time_us_ = response.holder_time_us();
-  primary.holder_time_at_ = context->now();
-  primary.OnAccepted(response);
-  return primary;
 }
 
 Fence EndpointPrimary::HighestOwnTerm() const {
@@ -133,6 +156,7 @@
   lease_bound_ =
       std::max(lease_bound_, LeaseBound(context_->options(), *holder_time_at_));
   in_flight_grant_ = request.sequence();
+  in_flight_grant_at_ = context_->now();
   last_grant_ = context_->now();
   state_changed_ = false;
   context_->Emit(SendGrant{endpoint(), std::move(request)});
@@ -243,6 +267,10 @@
     Demote(false);
     return;
   }
+  if (!fenced_ && !proposed_) {
+    Propose(view, current);
+    return;
+  }
   if (proposed_) {
     // The endpoint restarted or was fenced before it accepted.
     proposed_->set_endpoint_incarnation(view.endpoint_incarnation());
@@ -312,6 +340,7 @@
 }
 
 void EndpointPrimary::OnAccepted(const schema::GrantResponse& response) {
+  RenewAuthority(response);
   if (proposed_ &&
       FromProto(response.view().term()) == FromProto(proposed_->term())) {
     AdoptProposal();
@@ -342,8 +371,16 @@
     if (holding == holdings_.end() || epoch < holding->second.epoch) continue;
     // Released as asked for, or released before under a later epoch.
     if (epoch == holding->second.epoch && holding->second.releasing) {
+      // Without fence checks nothing but the deadline ends running work.
+      SteadyTime not_before = context_->now();
+      const auto running = running_until_.find(partition);
+      if (running != running_until_.end()) {
+        not_before = running->second;
+      } else if (!fenced_ && !dispatch_stopped_) {
+        not_before += context_->LongestDeadline(service_);
+      }
       transfers_.Add(partition, {epoch.Next(), record.target_endpoint(),
-                                 context_->now(), true, holding->second.cause});
+                                 not_before, true, holding->second.cause});
     }
     history_[partition] = record;
     holdings_.erase(holding);
@@ -374,7 +411,54 @@
 }
 
 bool EndpointPrimary::Accepting() const {
-  return !demoted_ && phase_ == Phase::kServing && !Suspected() && !draining_;
+  if (demoted_ || phase_ != Phase::kServing || draining_) return false;
+  return fenced_ ? !Suspected() : HasAuthority() && !unreachable_;
+}
+
+bool EndpointPrimary::HasAuthority() const {
+  const SteadyTime until{SteadyTime::duration(authority_until_->load())};
+  return context_->now() < until;
+}
+
+void EndpointPrimary::RenewAuthority(const schema::GrantResponse& response) {
+  // Counted from the time of sending: the backup counts from a later time.
+  if (fenced_ || response.sequence() != in_flight_grant_) return;
+  const SteadyTime until =
+      in_flight_grant_at_ + context_->options().authority_time;
+  authority_until_->store(until.time_since_epoch().count());
+}
+
+void EndpointPrimary::SetUnreachable(bool unreachable) {
+  if (unreachable == unreachable_ || phase_ != Phase::kServing) return;
+  unreachable_ = unreachable;
+  running_until_.clear();
+  dispatch_stopped_ = false;
+  if (unreachable) {
+    context_->Emit(StopDispatch{endpoint(), Term()});
+  } else if (!proposed_) {
+    // Dispatch stays stopped for the old term.
+    schema::View view = view_;
+    *view.mutable_term() = ToProto(HighestOwnTerm().Next());
+    Propose(view, Term());
+  }
+  context_->RoutingDirty();
+  context_->Emit(ReportEvent{
+      unreachable ? "endpoint_lost" : "endpoint_returned",
+      unreachable ? ResultCode::kBackendUnavailable : ResultCode::kOk,
+      {{"endpoint", endpoint()}}});
+}
+
+void EndpointPrimary::AdoptReset(const schema::View& view) {
+  view_ = view;
+  phase_ = Phase::kBinding;
+  proposed_.reset();
+  replace_all_ = true;
+  send_history_ = true;
+  holder_time_at_.reset();
+  last_response_ = context_->now();
+  for (auto& [partition, holding] : holdings_) holding.acked = false;
+  state_changed_ = true;
+  context_->RoutingDirty();
 }
 
 void EndpointPrimary::RequestConsents() {
@@ -422,7 +506,9 @@
 }
 
 void EndpointPrimary::TickSuspicion() {
-  if (phase_ == Phase::kEvicting || phase_ == Phase::kEvicted) return;
+  if (phase_ == Phase::kEvicting || phase_ == Phase::kEvicted || !fenced_) {
+    return;
+  }
   if (!Suspected()) {
     const bool asked = !consents_.empty();
     if (asked && phase_ == Phase::kServing && !proposed_) {
@@ -441,7 +527,20 @@
   if (AllConsented() && lease_over) BeginEviction();
 }
 
+bool EndpointPrimary::NeedsBackupByLog() const {
+  if (Suspected()) return true;
+  const RouterRef backup = FromProto(view_.backup());
+  const std::vector<RouterPlace> candidates = context_->Candidates();
+  const bool listed = std::ranges::any_of(
+      candidates, [&](const auto& place) { return place.router == backup; });
+  const bool other = std::ranges::any_of(candidates, [&](const auto& place) {
+    return place.router != context_->self();
+  });
+  return !listed && other;
+}
+
 bool EndpointPrimary::NeedsReset() const {
+  if (!demoted_ && !fenced_) return NeedsBackupByLog();
   if (demoted_ || !Suspected() || phase_ == Phase::kEvicting ||
       phase_ == Phase::kEvicted) {
     return false;
@@ -464,6 +563,10 @@
 }
 
 void EndpointPrimary::OnDispatchStopped(const DispatchStopped& stopped) {
+  if (!fenced_) {
+    running_until_ = stopped.running_until;
+    dispatch_stopped_ = true;
+  }
   if (phase_ != Phase::kEvicting || demoted_) return;
   phase_ = Phase::kEvicted;
   proposed_.reset();
@@ -502,7 +605,9 @@
 }
 
 void EndpointPrimary::TickBackup() {
-  if (phase_ != Phase::kServing || Suspected() || proposed_) return;
+  if (phase_ != Phase::kServing || Suspected() || proposed_ || !fenced_) {
+    return;
+  }
   if (asked_backup_) {
     if (context_->now() < asked_backup_at_ + kBackupReplyTimeout) return;
     declined_backups_.insert(asked_backup_->backup().id());
@@ -706,7 +811,8 @@
 }
 
 void EndpointPrimary::TickDrain() {
-  if (!draining_ || phase_ != Phase::kServing) return;
+  if (!(draining_ || unreachable_) || phase_ != Phase::kServing) return;
+  if (unreachable_ && !dispatch_stopped_) return;
   std::map<PartitionId, double> leaving;
   for (const auto& [partition, holding] : holdings_) {
     if (holding.acked && !holding.releasing) {
@@ -717,7 +823,7 @@
   if (leaving.empty()) return;
   for (const auto& [partition, target] :
        context_->Targets(service_, leaving, endpoint())) {
-    Release(partition, target, "drain");
+    Release(partition, target, unreachable_ ? "endpoint_lost" : "drain");
   }
 }
 
@@ -738,7 +844,7 @@
 
 bool EndpointPrimary::MoveTo(const RouterRef& router) {
   if (phase_ != Phase::kServing || Suspected() || proposed_ || handover_ ||
-      move_to_ || draining_) {
+      move_to_ || draining_ || !fenced_) {
     return false;
   }
   move_to_ = router;
@@ -769,6 +875,7 @@
 void EndpointPrimary::Demote(bool keep_transfers) {
   if (demoted_) return;
   demoted_ = true;
+  if (authority_until_) authority_until_->store(0);
   if (!keep_transfers) transfers_.Clear();
   holdings_.clear();
   waiting_.clear();
--- a/Source/core/endpoint_primary.h
+++ b/Source/core/endpoint_primary.h
@@ -2,8 +2,10 @@
 #ifndef BALSAMHALL_CORE_ENDPOINT_PRIMARY_H_
 #define BALSAMHALL_CORE_ENDPOINT_PRIMARY_H_
 
+#include <atomic>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -47,6 +49,12 @@
                                        const schema::GrantResponse& response,
                                        SteadyTime lease_bound);
 
+  // Starts from the state that the witness of an endpoint without fence checks
+  // kept for the old primary.
+  static EndpointPrimary AfterTakeover(ControlContext* context,
+                                       ServiceId service, schema::View view,
+                                       const schema::GrantResponse& state);
+
   void OnTick();
   void OnGrantResponse(const schema::GrantResponse& response);
   void OnStandDownReply(const RouterRef& from,
@@ -58,6 +66,10 @@
   void OnLoad(const LoadMeasured& measured);
   // A report of a draining or serving endpoint, from its health or the list.
   void SetDraining(bool draining);
+  // Endpoints without fence checks: their health probes fail or succeed again.
+  void SetUnreachable(bool unreachable);
+  // Endpoints without fence checks: the log named a new backup.
+  void AdoptReset(const schema::View& view);
   // Adds a partition of the first assignment, unless it is already known.
   void AddAssigned(PartitionId partition, const Fence& epoch);
   // Starts a planned move.
@@ -90,7 +102,11 @@
   // Fills in everything but the revision.
   void FillRouting(schema::EndpointRouting* routing) const;
   schema::EndpointClaims Claims() const;
-  SteadyTime serving_since() const { return serving_since_; }
+  SteadyTime started_at() const { return started_at_; }
+  // Null for endpoints that check fences.
+  std::shared_ptr<const std::atomic<SteadyTime::rep>> authority_until() const {
+    return authority_until_;
+  }
 
  private:
   struct Holding {
@@ -110,6 +126,11 @@
   Fence Term() const { return FromProto(view_.term()); }
   Fence HighestOwnTerm() const;
 
+  void ResumeTransfers(const schema::GrantResponse& state,
+                       SteadyTime not_before);
+  bool HasAuthority() const;
+  void RenewAuthority(const schema::GrantResponse& response);
+  bool NeedsBackupByLog() const;
   void SendProbe();
   void SendGrantNow();
   void Propose(schema::View view, const Fence& previous);
@@ -149,6 +170,9 @@
   bool draining_ = false;
   bool rearm_ = false;  // a stand-down was requested, but the endpoint answers
   bool handover_ = false;
+  bool fenced_ = true;        // the endpoint checks fences
+  bool unreachable_ = false;  // only known without fence checks
+  bool dispatch_stopped_ = false;
 
   std::map<PartitionId, Holding> holdings_;
   std::map<PartitionId, schema::ReleasedPartition> history_;
@@ -166,6 +190,11 @@
   std::uint64_t last_response_sequence_ = 0;
   std::uint64_t in_flight_grant_ = 0;  // sequence of the last non-probe grant
   SteadyTime last_grant_;
+  SteadyTime in_flight_grant_at_;
+  SteadyTime started_at_;
+  std::shared_ptr<std::atomic<SteadyTime::rep>> authority_until_;
+  // Work that ran at the endpoint when dispatch stopped, by partition.
+  std::map<PartitionId, SteadyTime> running_until_;
   bool state_changed_ = false;  // adds or releases wait for a grant
 
   std::vector<Consent> consents_;
