--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -219,6 +219,8 @@
   std::map<EndpointId, EndpointReset> resets_;
   std::map<EndpointId, PendingReset> pending_resets_;
   std::map<EndpointId, Fence> promises_;
+  // Last term that the endpoint accepted from this router as its backup.
+  std::map<EndpointId, Fence> failed_over_;
   std::map<EndpointId, schema::HealthReport> health_;
   std::set<EndpointId> drain_refused_;
   SteadyTime last_health_;
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -191,7 +191,11 @@
   schema::PeerMessage message = MakePeerMessage(self_);
   schema::StandDownReply* reply = message.mutable_stand_down_reply();
   reply->set_endpoint(endpoint);
-  if (FindPrimary(endpoint) == nullptr) {
+  // A failover from this term took place, so the sender is no longer primary.
+  const auto failed_over = failed_over_.find(endpoint);
+  const bool superseded =
+      failed_over != failed_over_.end() && term <= failed_over->second;
+  if (FindPrimary(endpoint) == nullptr && !superseded) {
     const auto backup = backups_.find(endpoint);
     std::optional<Fence> promised = term;
     if (backup != backups_.end()) {
--- a/Source/core/controller_roles.cc
+++ b/Source/core/controller_roles.cc
@@ -61,9 +61,18 @@
                    {{"endpoint", endpoint},
                     {"term", FromProto(response.view().term()).ToString()},
                     {"partitions", std::to_string(response.held_count())}}});
-  StartPrimary(EndpointPrimary::AfterFailover(
-      this, config->second.first->name(), response, lease_bound));
-  AddAssignedPartitions(FindPrimary(endpoint));
+  const Fence term = FromProto(response.view().term());
+  failed_over_[endpoint] = term;
+  const ServiceId& service = config->second.first->name();
+  StartPrimary(
+      EndpointPrimary::AfterFailover(this, service, response, lease_bound));
+  // The old primary may not have granted the first assignment yet. A reset
+  // after the assignment has already resolved every partition, and its
+  // endpoint does not know which ones moved away before.
+  const auto* assigned = fleet_.AssignmentOf(service);
+  if (assigned != nullptr && term.offset < assigned->offset) {
+    AddAssignedPartitions(FindPrimary(endpoint));
+  }
 }
 
 void OwnershipController::Impl::TickRoles() {
--- a/Tests/Ownership/ownership_checks.cc
+++ b/Tests/Ownership/ownership_checks.cc
@@ -55,8 +55,6 @@
   for (const auto& held : state.held()) {
     const PartitionKey key{endpoint->service, held.partition()};
     const Fence epoch = FromProto(held.epoch());
-    Fence& highest = held_[{endpoint->name(), key}];
-    highest = std::max(highest, epoch);
     if (endpoint->holder->Owns(held.partition(), now)) {
       CheckOwner(endpoint, key, epoch);
     }
@@ -110,13 +108,16 @@
   if (reply.status() != schema::TRANSFER_DONE) return;
   for (const auto& partition : reply.partitions()) {
     const PartitionKey key{reply.service(), partition.partition()};
-    const auto held = held_.find({reply.target_endpoint(), key});
-    if (held == held_.end() || held->second < FromProto(partition.epoch())) {
+    // The target may have been lost since, and its primary may have moved the
+    // partition on under a higher epoch before it answers.
+    const auto latest = latest_.find(key);
+    const Fence epoch = FromProto(partition.epoch());
+    if (latest == latest_.end() || latest->second.epoch < epoch) {
       throw FailedCheck(fmt::format(
-          "P2: {} acknowledged the transfer of {} to {}, which never held it "
-          "under epoch {}",
+          "P2: {} acknowledged the transfer of {} to {}, but no endpoint held "
+          "it under epoch {}",
           from.label(), Describe(key), reply.target_endpoint(),
-          FromProto(partition.epoch()).ToString()));
+          epoch.ToString()));
     }
   }
 }
--- a/Tests/Ownership/ownership_checks.h
+++ b/Tests/Ownership/ownership_checks.h
@@ -26,7 +26,8 @@
   void AfterGrant(EndpointProcess* endpoint, const RouterProcess& router,
                   const schema::GrantRequest& request,
                   const schema::GrantResponse& response);
-  // P2: a transfer is acknowledged after the new owner holds the partition.
+  // P2: a transfer is acknowledged after the endpoint, or a later owner, held
+  // the partition.
   void OnPeerMessage(const RouterProcess& from,
                      const schema::PeerMessage& message);
   // P8: versions grow, and equal those of a reader of the whole log.
@@ -60,8 +61,6 @@
 
   Fleet* fleet_;
   std::map<PartitionKey, Owned> latest_;
-  // Highest epoch that an endpoint ever held.
-  std::map<std::pair<EndpointId, PartitionKey>, Fence> held_;
   ConfigRegister reference_;
   std::size_t reference_read_ = 0;
   std::map<std::uint64_t, std::string> accepted_;  // version and digest
