Add the entry handler and the dispatch side of the router

Callers' requests need a way from the entry router to the endpoint's primary. A lost connection between routers now tells whether it was ever established, because only then requests on it may have run.

--- a/Source/net/peer_transport.cc
+++ b/Source/net/peer_transport.cc
@@ -327,6 +327,7 @@
   void Fail(const ConnectionPtr& connection, ResultCode code,
             const std::string& detail) {
     const std::string address = connection->address;
+    const bool opened = connection->connected;
     connection->CloseSocket();
     connections_.erase(connection->id);
     if (!address.empty()) {
@@ -339,7 +340,7 @@
       fault_handler_(code,
                      (address.empty() ? "inbound" : address) + ": " + detail);
     }
-    if (lost_handler_ && !address.empty()) lost_handler_(address);
+    if (lost_handler_ && !address.empty()) lost_handler_(address, opened);
   }
 
   void ScheduleHousekeeping() {
--- a/Source/net/peer_transport.h
+++ b/Source/net/peer_transport.h
@@ -36,9 +36,11 @@
   using ConnectionId = std::uint64_t;
   using Handler = std::function<void(ConnectionId, schema::PeerMessage)>;
   using FaultHandler = std::function<void(ResultCode, const std::string&)>;
-  // An outgoing connection to the address was lost; frames not yet answered
-  // may or may not have arrived.
-  using LostHandler = std::function<void(const std::string& address)>;
+  // An outgoing connection to the address was lost. opened = false: it was
+  // never established, so no frame was sent; else frames not yet answered may
+  // or may not have arrived.
+  using LostHandler =
+      std::function<void(const std::string& address, bool opened)>;
 
   PeerTransport(boost::asio::io_context& loop, PeerTransportOptions options,
                 Handler handler);
--- /dev/null
+++ b/Source/router/dispatch_worker.cc
@@ -0,0 +1,288 @@
+#include "router/dispatch_worker.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "core/partitioner.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kLoadTimeConstant{30'000};
+
+template <class... Ts>
+struct Overloaded : Ts... {
+  using Ts::operator()...;
+};
+template <class... Ts>
+Overloaded(Ts...) -> Overloaded<Ts...>;
+
+DispatcherOptions OptionsOf(const schema::EndpointConfig& config,
+                            const schema::PolicyConfig& policy) {
+  DispatcherOptions options;
+  options.slots = std::max(1U, config.slots());
+  options.floor_normal = policy.floor_normal();
+  options.floor_background = policy.floor_background();
+  return options;
+}
+
+// A cold endpoint is one that began to serve within the ramp.
+bool IsCold(const EndpointRoute& route, SteadyTime now) {
+  return route.serving_since != SteadyTime{} &&
+         now - route.serving_since < DispatcherOptions{}.ramp;
+}
+
+std::uint64_t ContentDigest(const schema::ForwardRequest& request) {
+  const std::string hex =
+      Digest(request.kind() + '\n' + request.key() + '\n' + request.body());
+  return std::stoull(hex, nullptr, 16);
+}
+
+std::int64_t UnixMicroseconds(WallTime time) {
+  return std::chrono::duration_cast<Microseconds>(time.time_since_epoch())
+      .count();
+}
+
+Microseconds ToMicroseconds(SteadyTime::duration duration) {
+  return std::chrono::duration_cast<Microseconds>(duration);
+}
+
+}  // namespace
+
+schema::ForwardReply ReplyOf(ResultCode code) {
+  schema::ForwardReply reply;
+  reply.set_code(static_cast<std::uint32_t>(code));
+  return reply;
+}
+
+DispatchWorker::DispatchWorker(const EndpointRoute& route,
+                               const BackendFactory& factory, RouterId self,
+                               TraceStore& traces, SteadyTime now)
+    : route_(route),
+      factory_(factory),
+      self_(std::move(self)),
+      traces_(traces),
+      dispatcher_(OptionsOf(route.config, {}), route.serving_since,
+                  IsCold(route, now)),
+      backend_(factory(route.config)),
+      load_(kLoadTimeConstant) {}
+
+void DispatchWorker::Apply(const EndpointRoute& route,
+                           const schema::PolicyConfig& policy,
+                           const std::map<PartitionId, Fence>& partitions,
+                           SteadyTime now, WallTime wall_now) {
+  if (stopped_) return;
+  if (route.config.address() != route_.config.address() ||
+      route.config.connections() != route_.config.connections()) {
+    retired_.push_back(std::move(backend_));
+    backend_ = factory_(route.config);
+  }
+  route_ = route;
+  Execute(dispatcher_.SetOptions(OptionsOf(route.config, policy), now));
+  if (partitions != partitions_) {
+    partitions_ = partitions;
+    Execute(dispatcher_.SetPartitions(partitions, now, wall_now));
+  }
+}
+
+void DispatchWorker::Submit(DispatchJob job, SteadyTime now,
+                            WallTime wall_now) {
+  DispatchRequest request;
+  request.ticket = job.ticket;
+  request.request_id = job.request.request_id();
+  request.rank = job.kind.rank();
+  request.idempotent = job.kind.idempotent();
+  request.long_running = job.kind.long_running();
+  request.partition = job.partition;
+  if (!request.idempotent) {
+    request.first_issued =
+        WallTime(Milliseconds(job.request.first_issued_ms()));
+  }
+  request.deadline = job.deadline;
+  request.bytes = job.request.body().size() + job.request.key().size();
+  request.kind = job.kind_number;
+  request.content = ContentDigest(job.request);
+
+  Running running;
+  running.submitted = now;
+  running.submitted_wall = wall_now;
+  running.queue_span = NextSpan(ParseTraceparent(job.request.traceparent()));
+  running.job = std::move(job);
+  jobs_.emplace(request.ticket, std::move(running));
+  Execute(dispatcher_.Submit(std::move(request), now, wall_now));
+}
+
+void DispatchWorker::Cancel(Ticket ticket, SteadyTime now) {
+  if (jobs_.contains(ticket)) Execute(dispatcher_.Cancel(ticket, now));
+}
+
+std::map<PartitionId, SteadyTime> DispatchWorker::Stop(ResultCode code,
+                                                       bool cancel_running,
+                                                       SteadyTime now) {
+  stopped_ = true;
+  Execute(dispatcher_.Stop(code, now));
+  if (cancel_running) {
+    for (const auto& [ticket, running] : jobs_) {
+      backend_->Cancel(running.job.request.request_id());
+    }
+  }
+  return dispatcher_.RunningUntil();
+}
+
+void DispatchWorker::Tick(SteadyTime now, WallTime wall_now) {
+  Execute(dispatcher_.Tick(now, wall_now));
+}
+
+LoadMeasured DispatchWorker::Measure(SteadyTime now) {
+  LoadMeter::Reading reading = load_.Read(now);
+  LoadMeasured measured;
+  measured.endpoint = route_.config.name();
+  measured.load = reading.total;
+  measured.by_partition = std::move(reading.by_partition);
+  measured.drain_refused = std::exchange(drain_refused_, false);
+  return measured;
+}
+
+void DispatchWorker::Execute(DispatchActions actions) {
+  std::ranges::move(actions, std::back_inserter(actions_));
+  // Work that ends at once gives further actions; they are run in order here
+  // instead of recursively.
+  if (executing_) return;
+  executing_ = true;
+  while (!actions_.empty()) {
+    const DispatchAction action = std::move(actions_.front());
+    actions_.pop_front();
+    std::visit(
+        Overloaded{[this](const StartWork& start) { Start(start.ticket); },
+                   [this](const RejectRequest& reject) {
+                     StoredAnswer answer;
+                     answer.code = reject.code;
+                     Answer(reject.ticket, answer);
+                   },
+                   [this](const AnswerFromMemory& stored) {
+                     Answer(stored.ticket, *stored.answer);
+                   },
+                   [this](const CancelWork& cancel) {
+                     const auto found = jobs_.find(cancel.ticket);
+                     if (found == jobs_.end()) return;
+                     backend_->Cancel(found->second.job.request.request_id());
+                   }},
+        action);
+  }
+  executing_ = false;
+}
+
+bool DispatchWorker::HasAuthority(SteadyTime now) const {
+  if (route_.config.checks_fences() || !route_.authority_until) return true;
+  return now.time_since_epoch().count() < route_.authority_until->load();
+}
+
+void DispatchWorker::Start(Ticket ticket) {
+  const auto found = jobs_.find(ticket);
+  if (found == jobs_.end()) return;
+  Running& running = found->second;
+  const SteadyTime now = std::chrono::steady_clock::now();
+  running.started = now;
+  const DispatchJob& job = running.job;
+  const auto epoch =
+      job.partition ? partitions_.find(*job.partition) : partitions_.end();
+  if (!HasAuthority(now) || (job.partition && epoch == partitions_.end())) {
+    auto answer = std::make_shared<StoredAnswer>();
+    answer->code = job.partition && epoch == partitions_.end()
+                       ? ResultCode::kNotRunMoved
+                       : ResultCode::kNotRunNoAuthority;
+    EndWork(ticket, std::move(answer));
+    return;
+  }
+  running.backend_span = NextSpan(running.queue_span);
+  WorkRequest work;
+  work.kind = job.request.kind();
+  work.key = job.request.key();
+  work.request_id = job.request.request_id();
+  work.fenced = job.partition.has_value();
+  if (job.partition) {
+    work.term = route_.term;
+    work.partition = *job.partition;
+    work.epoch = epoch->second;
+  }
+  work.remaining = std::chrono::duration_cast<Milliseconds>(job.deadline - now);
+  work.traceparent = FormatTraceparent(running.backend_span);
+  work.content_type = job.request.content_type();
+  work.body = job.request.body();
+  backend_->Work(std::move(work),
+                 [weak = weak_from_this(), ticket](const WorkAnswer& answer) {
+                   if (const auto self = weak.lock()) {
+                     self->OnWorkDone(ticket, answer);
+                   }
+                 });
+}
+
+void DispatchWorker::OnWorkDone(Ticket ticket, const WorkAnswer& answer) {
+  if (answer.draining) drain_refused_ = true;
+  auto stored = std::make_shared<StoredAnswer>();
+  stored->code = answer.code;
+  stored->http_status = answer.http_status;
+  stored->content_type = answer.content_type;
+  stored->body = answer.body;
+  EndWork(ticket, std::move(stored));
+}
+
+void DispatchWorker::EndWork(Ticket ticket, StoredAnswerPtr answer) {
+  const auto found = jobs_.find(ticket);
+  if (found == jobs_.end()) return;
+  const SteadyTime now = std::chrono::steady_clock::now();
+  if (!IsNotRun(answer->code)) {
+    load_.Add(found->second.job.partition,
+              ToMicroseconds(now - found->second.started), now);
+  }
+  Answer(ticket, *answer);
+  Execute(dispatcher_.Finish(ticket, answer, now,
+                             std::chrono::system_clock::now()));
+}
+
+void DispatchWorker::Answer(Ticket ticket, const StoredAnswer& answer) {
+  const auto found = jobs_.find(ticket);
+  if (found == jobs_.end()) return;
+  const Running running = std::move(found->second);
+  jobs_.erase(found);
+  schema::ForwardReply reply = ReplyOf(answer.code);
+  reply.set_correlation(running.job.request.correlation());
+  reply.set_http_status(answer.http_status);
+  reply.set_content_type(answer.content_type);
+  reply.set_body(answer.body);
+  reply.set_endpoint(route_.config.name());
+  RecordSpans(running, reply.code(), std::chrono::steady_clock::now());
+  running.job.done(std::move(reply));
+}
+
+void DispatchWorker::RecordSpans(const Running& running, unsigned code,
+                                 SteadyTime now) {
+  const auto parent = ParseTraceparent(running.job.request.traceparent());
+  const bool started = running.started != SteadyTime{};
+  schema::Span span;
+  span.set_trace_id(running.queue_span.trace_id);
+  span.set_span_id(running.queue_span.span_id);
+  if (parent) span.set_parent_span_id(parent->span_id);
+  span.set_name("queue");
+  span.set_router(self_);
+  span.set_request_id(running.job.request.request_id());
+  span.set_endpoint(route_.config.name());
+  span.set_start_us(UnixMicroseconds(running.submitted_wall));
+  span.set_duration_us(
+      ToMicroseconds((started ? running.started : now) - running.submitted)
+          .count());
+  span.set_code(started ? 0 : code);
+  if (started) {
+    schema::Span backend = span;
+    backend.set_span_id(running.backend_span.span_id);
+    backend.set_parent_span_id(running.queue_span.span_id);
+    backend.set_name("backend");
+    backend.set_start_us(span.start_us() + span.duration_us());
+    backend.set_duration_us(ToMicroseconds(now - running.started).count());
+    backend.set_code(code);
+    traces_.Record(std::move(backend), running.queue_span.sampled);
+  }
+  traces_.Record(std::move(span), running.queue_span.sampled);
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/router/entry_handler.h
@@ -0,0 +1,137 @@
+// Requests of callers at the router that they reached.
+#ifndef BALSAMHALL_ROUTER_ENTRY_HANDLER_H_
+#define BALSAMHALL_ROUTER_ENTRY_HANDLER_H_
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+
+#include "core/routing_snapshot.h"
+#include "dispatch/link_shaper.h"
+#include "dispatch/load_balancer.h"
+#include "dispatch/overload_guard.h"
+#include "dispatch/retry_budget.h"
+#include "net/http_types.h"
+#include "router/caller_request.h"
+#include "router/dispatch_job.h"
+#include "router/forward_client.h"
+#include "telemetry/metrics.h"
+#include "telemetry/trace_store.h"
+
+namespace balsamhall {
+
+struct EntryOptions {
+  std::size_t threads = 1;  // traffic threads, which share budgets
+  std::size_t max_waiting = 4096;
+  std::size_t max_waiting_bytes = 32U << 20U;
+  std::uint32_t max_attempts = 4;
+  std::uint64_t seed = 1;
+  OverloadOptions overload;
+};
+
+// Chooses the endpoint, dispatches or forwards, repeats what is safe to repeat
+// and answers. Not thread-safe: one traffic thread owns it.
+class EntryHandler {
+ public:
+  using Respond = std::function<void(HttpResponse)>;
+  using LocalDispatch = std::function<void(DispatchJob)>;
+
+  // forwards, metrics and traces outlive the handler.
+  EntryHandler(EntryOptions options, LocalDispatch dispatch,
+               ForwardClient& forwards, Metrics& metrics, TraceStore& traces,
+               SteadyTime now);
+  ~EntryHandler();
+  EntryHandler(const EntryHandler&) = delete;
+  EntryHandler& operator=(const EntryHandler&) = delete;
+
+  // Adopts a snapshot and repeats what waited for it.
+  void Apply(std::shared_ptr<const RoutingSnapshot> snapshot, SteadyTime now);
+
+  // Sheds a request by its head when the router is short of time or memory.
+  std::optional<HttpResponse> FilterHead(const HttpRequest& head);
+
+  void Handle(HttpRequest request, Respond respond);
+
+  // Ends and repeats waiting requests. Call every 10 ms.
+  void Tick(SteadyTime now);
+
+  void ReportLoad(Microseconds loop_delay, std::size_t memory);
+
+  std::size_t waiting() const { return waiting_.size(); }
+
+ private:
+  // What an attempt was based on; a change is a reason to try again.
+  using RouteKey = std::tuple<EndpointId, RouterId, Fence, Fence>;
+
+  struct Target {
+    EndpointId endpoint;
+    RouteKey key;
+    Fence term;
+    bool local = false;
+    bool remote_region = false;
+    std::string address;
+  };
+
+  struct Entry {
+    CallerRequest request;
+    Respond respond;
+    SteadyTime started;
+    WallTime started_wall;
+    SteadyTime deadline;
+    TraceContext span;
+    std::string parent_span;
+    std::uint32_t attempts = 0;
+    std::set<EndpointId> tried;
+    RouteKey attempted;
+    // Result to give if nothing better follows.
+    schema::ForwardReply last;
+    // An idempotent request that may have run is never reported as not run.
+    std::optional<ResultCode> maybe_ran;
+    bool budget_due = false;
+    SteadyTime retry_at;
+    std::size_t bytes = 0;
+  };
+  using EntryPtr = std::shared_ptr<Entry>;
+
+  void Attempt(const EntryPtr& entry, SteadyTime now);
+  std::optional<Target> Choose(Entry& entry, SteadyTime now);
+  std::optional<Target> TargetOf(const EndpointId& endpoint,
+                                 const Fence& epoch) const;
+  bool TakeLink(const EntryPtr& entry, const Target& target, SteadyTime now);
+  void Send(const EntryPtr& entry, const Target& target, SteadyTime now);
+  void OnReply(const EntryPtr& entry, const Target& target, SteadyTime sent,
+               schema::ForwardReply reply);
+  void ReportToBalancer(const Entry& entry, const Target& target,
+                        ResultCode code, SteadyTime sent, SteadyTime now);
+  void Wait(const EntryPtr& entry, ResultCode reason, Microseconds delay,
+            SteadyTime now);
+  bool RouteChanged(const Entry& entry) const;
+  void Finish(Entry& entry, schema::ForwardReply reply);
+  void Reject(const HttpRequest& request, const Respond& respond,
+              const Error& error);
+  void RecordSpan(const Entry& entry, unsigned code, SteadyTime now);
+  void UpdatePolicy(SteadyTime now);
+
+  EntryOptions options_;
+  LocalDispatch dispatch_;
+  ForwardClient& forwards_;
+  Metrics& metrics_;
+  TraceStore& traces_;
+  std::shared_ptr<const RoutingSnapshot> snapshot_;
+  RetryBudget budget_;
+  LinkShaper link_;
+  OverloadGuard guard_;
+  std::map<ServiceId, LoadBalancer> balancers_;
+  std::list<EntryPtr> waiting_;
+  std::size_t waiting_bytes_ = 0;
+  Ticket last_ticket_ = 0;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_ROUTER_ENTRY_HANDLER_H_
--- /dev/null
+++ b/Source/router/forward_client.cc
@@ -0,0 +1,66 @@
+#include "router/forward_client.h"
+
+#include <utility>
+#include <vector>
+
+namespace balsamhall {
+namespace {
+
+// The primary answers at the deadline; the answer needs time to get here.
+constexpr Milliseconds kReplyAllowance{100};
+
+}  // namespace
+
+ForwardClient::ForwardClient(Sender send) : send_(std::move(send)) {}
+
+void ForwardClient::Forward(const std::string& address,
+                            schema::ForwardRequest request, SteadyTime deadline,
+                            ReplyCallback done) {
+  const std::uint64_t correlation = ++last_correlation_;
+  request.set_correlation(correlation);
+  schema::PeerMessage message;
+  *message.mutable_sender() = ToProto(self_);
+  *message.mutable_forward_request() = std::move(request);
+  // Inserted first: a connection that fails at once reports its loss.
+  pending_.emplace(correlation,
+                   Pending{address, deadline + kReplyAllowance, done});
+  if (!send_(address, message) && pending_.erase(correlation) > 0) {
+    done(ReplyOf(ResultCode::kNotRunRouterUnreachable));
+  }
+}
+
+void ForwardClient::OnReply(schema::ForwardReply reply) {
+  auto found = pending_.extract(reply.correlation());
+  if (found) found.mapped().done(std::move(reply));
+}
+
+void ForwardClient::OnLost(const std::string& address, bool opened) {
+  std::vector<ReplyCallback> lost;
+  std::erase_if(pending_, [&](auto& item) {
+    if (item.second.address != address) return false;
+    lost.push_back(std::move(item.second.done));
+    return true;
+  });
+  for (const ReplyCallback& done : lost) {
+    done(ReplyOf(opened ? ResultCode::kUnknownRouterLost
+                        : ResultCode::kNotRunRouterUnreachable));
+  }
+}
+
+void ForwardClient::Tick(SteadyTime now) {
+  std::vector<std::pair<std::uint64_t, Pending>> overdue;
+  std::erase_if(pending_, [&](auto& item) {
+    if (item.second.give_up_at > now) return false;
+    overdue.emplace_back(item.first, std::move(item.second));
+    return true;
+  });
+  for (const auto& [correlation, pending] : overdue) {
+    schema::PeerMessage cancel;
+    *cancel.mutable_sender() = ToProto(self_);
+    cancel.mutable_forward_cancel()->set_correlation(correlation);
+    send_(pending.address, cancel);
+    pending.done(ReplyOf(ResultCode::kUnknownTimeout));
+  }
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/router/forward_client.h
@@ -0,0 +1,56 @@
+// Requests forwarded to the primary routers of their endpoints.
+#ifndef BALSAMHALL_ROUTER_FORWARD_CLIENT_H_
+#define BALSAMHALL_ROUTER_FORWARD_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <unordered_map>
+
+#include "core/routing_snapshot.h"
+#include "core/types.h"
+#include "router/dispatch_job.h"
+
+namespace balsamhall {
+
+// Matches replies with requests. Not thread-safe.
+class ForwardClient {
+ public:
+  using Sender = std::function<bool(const std::string& address,
+                                    const schema::PeerMessage& message)>;
+
+  explicit ForwardClient(Sender send);
+
+  void set_self(const RouterRef& self) { self_ = self; }
+
+  // Sends the request; done runs once, possibly inside this call. Without a
+  // reply some time after the deadline the outcome is unknown.
+  void Forward(const std::string& address, schema::ForwardRequest request,
+               SteadyTime deadline, ReplyCallback done);
+
+  void OnReply(schema::ForwardReply reply);
+
+  // A connection was lost; opened = false proves that nothing was sent.
+  void OnLost(const std::string& address, bool opened);
+
+  // Ends requests whose deadline passed. Call every 10 ms.
+  void Tick(SteadyTime now);
+
+  std::size_t pending() const { return pending_.size(); }
+
+ private:
+  struct Pending {
+    std::string address;
+    SteadyTime give_up_at;
+    ReplyCallback done;
+  };
+
+  Sender send_;
+  RouterRef self_;
+  std::uint64_t last_correlation_ = 0;
+  std::unordered_map<std::uint64_t, Pending> pending_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_ROUTER_FORWARD_CLIENT_H_
--- /dev/null
+++ b/Source/router/load_meter.cc
@@ -0,0 +1,48 @@
+#include "router/load_meter.h"
+
+#include <cmath>
+
+namespace balsamhall {
+namespace {
+
+// Partitions below this share of a slot are forgotten.
+constexpr double kNegligible = 1e-9;
+
+double Seconds(SteadyTime::duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+void LoadMeter::Add(std::optional<PartitionId> partition,
+                    Microseconds slot_time, SteadyTime now) {
+  // The sum is decayed when it is read; work that ended since then differs by
+  // less than one reading interval.
+  if (decayed_at_ == SteadyTime{}) decayed_at_ = now;
+  const double rate = Seconds(slot_time) / Seconds(time_constant_);
+  if (partition) {
+    by_partition_[*partition] += rate;
+  } else {
+    unpartitioned_ += rate;
+  }
+}
+
+LoadMeter::Reading LoadMeter::Read(SteadyTime now) {
+  Decay(now);
+  Reading reading{unpartitioned_, by_partition_};
+  for (const auto& [partition, load] : by_partition_) reading.total += load;
+  return reading;
+}
+
+void LoadMeter::Decay(SteadyTime now) {
+  if (decayed_at_ == SteadyTime{}) decayed_at_ = now;
+  const double factor =
+      std::exp(-Seconds(now - decayed_at_) / Seconds(time_constant_));
+  decayed_at_ = now;
+  unpartitioned_ *= factor;
+  for (auto& [partition, load] : by_partition_) load *= factor;
+  std::erase_if(by_partition_,
+                [](const auto& item) { return item.second < kNegligible; });
+}
+
+}  // namespace balsamhall
--- a/Tests/Net/peer_transport_test.cc
+++ b/Tests/Net/peer_transport_test.cc
@@ -47,7 +47,10 @@
     sender.set_fault_handler([this](ResultCode code, const std::string&) {
       sender_faults.push_back(code);
     });
-    sender.set_lost_handler([this](const std::string&) { ++lost; });
+    sender.set_lost_handler([this](const std::string&, bool opened) {
+      ++lost;
+      lost_opened = opened;
+    });
   }
 
   template <typename Condition>
@@ -67,6 +70,7 @@
   std::vector<ResultCode> faults;
   std::vector<ResultCode> sender_faults;
   int lost = 0;
+  bool lost_opened = false;
   std::string address;
   PeerTransport receiver;
   PeerTransport sender;
@@ -188,6 +192,7 @@
   BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.received.size() == 1; }));
   other.reset();
   BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.lost == 1; }));
+  BOOST_CHECK(fixture.lost_opened);
   BOOST_CHECK(!fixture.sender.Send(address, Message(2)));  // reconnect delay
   other.emplace(fixture.loop, PeerTransportOptions{}, handler);
   BOOST_REQUIRE(other->Listen(address));
@@ -221,6 +226,7 @@
   taken.close();
   fixture.sender.Send(address, Message(1));
   BOOST_CHECK(fixture.RunUntil([&] { return fixture.lost == 1; }));
+  BOOST_CHECK(!fixture.lost_opened);
   BOOST_REQUIRE_EQUAL(fixture.sender_faults.size(), 1U);
   BOOST_CHECK(fixture.sender_faults[0] == ResultCode::kPeerUnreachable);
   BOOST_CHECK(!fixture.sender.Send("nonsense", Message(1)));
