--- /dev/null
+++ b/Source/router/log_follower.cc
@@ -0,0 +1,66 @@
+#include "router/log_follower.h"
+
+#include <utility>
+
+#include "telemetry/event_log.h"
+
+namespace balsamhall {
+namespace {
+
+constexpr std::size_t kPageEntries = 500;
+constexpr Milliseconds kLongPoll{500};
+
+LogRecordRead Decode(const LogEntry& entry) {
+  LogRecordRead read;
+  read.offset = entry.offset;
+  read.writer = entry.writer;
+  read.sequence = entry.sequence;
+  read.age = entry.age;
+  if (!read.record.ParseFromString(entry.payload)) {
+    LogEvent(EventLevel::kWarning, "log_record_skipped",
+             static_cast<unsigned>(ResultCode::kLogRecordMalformed),
+             {{"offset", std::to_string(entry.offset)},
+              {"writer", entry.writer},
+              {"bytes", std::to_string(entry.payload.size())}});
+    read.record.Clear();
+  }
+  return read;
+}
+
+}  // namespace
+
+LogFollower::LogFollower(LogService& log, Deliver deliver)
+    : log_(log), deliver_(std::move(deliver)) {}
+
+void LogFollower::Read(std::uint64_t from) {
+  log_.Read(from, kPageEntries, kLongPoll,
+            [this](const Result<LogPage>& page) { OnPage(page); });
+}
+
+void LogFollower::OnPage(const Result<LogPage>& page) {
+  if (!page) {
+    deliver_(LogReadFinished{});
+    return;
+  }
+  for (const LogEntry& entry : page.value().entries) deliver_(Decode(entry));
+  LogReadFinished finished;
+  finished.reachable = true;
+  finished.first_offset = page.value().first_offset;
+  finished.next_offset = page.value().next_offset;
+  finished.retention = page.value().retention;
+  deliver_(finished);
+}
+
+void LogFollower::Append(const std::string& writer,
+                         const AppendLogRecord& append) {
+  log_.Append(
+      writer, append.sequence, append.record.SerializeAsString(),
+      [this, sequence = append.sequence](const Result<std::uint64_t>& offset) {
+        LogAppendFinished finished;
+        finished.sequence = sequence;
+        if (offset) finished.offset = offset.value();
+        deliver_(finished);
+      });
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/router/log_follower.h
@@ -0,0 +1,38 @@
+// Reads the log on behalf of the ownership controller.
+#ifndef BALSAMHALL_ROUTER_LOG_FOLLOWER_H_
+#define BALSAMHALL_ROUTER_LOG_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+
+#include "core/ownership_events.h"
+#include "platform/log_service.h"
+
+namespace balsamhall {
+
+// Not thread-safe.
+class LogFollower {
+ public:
+  using Deliver = std::function<void(OwnershipEvent)>;
+
+  // log outlives the follower.
+  LogFollower(LogService& log, Deliver deliver);
+
+  // Reads one page and delivers its records and LogReadFinished. A record that
+  // cannot be decoded is reported (kLogRecordMalformed) and delivered without
+  // a body, so that its offset counts as read.
+  void Read(std::uint64_t from);
+
+  // Appends once and delivers LogAppendFinished.
+  void Append(const std::string& writer, const AppendLogRecord& append);
+
+ private:
+  void OnPage(const Result<LogPage>& page);
+
+  LogService& log_;
+  Deliver deliver_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_ROUTER_LOG_FOLLOWER_H_
--- /dev/null
+++ b/Source/router/submission_tracker.cc
@@ -0,0 +1,67 @@
+#include "router/submission_tracker.h"
+
+#include <utility>
+#include <vector>
+
+namespace balsamhall {
+namespace {
+
+constexpr Milliseconds kReadBackLimit{8000};
+
+ResultCode CodeOf(ConfigVerdict verdict) {
+  switch (verdict) {
+    case ConfigVerdict::kAccepted:
+      return ResultCode::kOk;
+    case ConfigVerdict::kInvalid:
+      return ResultCode::kConfigInvalid;
+    case ConfigVerdict::kDigestMismatch:
+      return ResultCode::kConfigDigestMismatch;
+    case ConfigVerdict::kStaleVersion:
+    case ConfigVerdict::kIgnored:
+      break;
+  }
+  return ResultCode::kConfigStaleVersion;
+}
+
+}  // namespace
+
+void SubmissionTracker::Add(std::uint64_t sequence, bool publication,
+                            SteadyTime now,
+                            ControlCommands::SubmissionCallback done) {
+  waiting_[sequence] = {publication, now + kReadBackLimit, std::move(done)};
+}
+
+void SubmissionTracker::Check(const OwnershipController& controller) {
+  std::vector<std::pair<schema::PublishReply, Waiting>> ended;
+  std::erase_if(waiting_, [&](auto& item) {
+    const auto result = controller.ResultOf(item.first);
+    if (!result) return false;
+    const ResultCode code =
+        item.second.publication ? CodeOf(result->verdict) : ResultCode::kOk;
+    schema::PublishReply reply;
+    reply.set_code(static_cast<std::uint32_t>(code));
+    reply.set_detail(std::string(ResultCodeName(code)));
+    reply.set_sequence(item.first);
+    reply.set_offset(result->offset);
+    reply.set_version_in_force(controller.configuration().version());
+    reply.set_digest_in_force(controller.configuration().digest());
+    ended.emplace_back(std::move(reply), std::move(item.second));
+    return true;
+  });
+  for (const auto& [reply, waiting] : ended) waiting.done(reply);
+}
+
+void SubmissionTracker::ExpireOld(SteadyTime now) {
+  std::vector<Waiting> ended;
+  std::erase_if(waiting_, [&](auto& item) {
+    if (now < item.second.give_up_at) return false;
+    ended.push_back(std::move(item.second));
+    return true;
+  });
+  for (const Waiting& waiting : ended) {
+    waiting.done(Error{ResultCode::kLogAnswerLost,
+                       "not read back from the log; it may still take effect"});
+  }
+}
+
+}  // namespace balsamhall
--- /dev/null
+++ b/Source/router/submission_tracker.h
@@ -0,0 +1,39 @@
+// Submissions of operators that wait to be read back from the log.
+#ifndef BALSAMHALL_ROUTER_SUBMISSION_TRACKER_H_
+#define BALSAMHALL_ROUTER_SUBMISSION_TRACKER_H_
+
+#include <cstdint>
+#include <map>
+
+#include "core/ownership_controller.h"
+#include "router/control_commands.h"
+
+namespace balsamhall {
+
+// Not thread-safe.
+class SubmissionTracker {
+ public:
+  // publication: the answer carries the verdict on a configuration.
+  void Add(std::uint64_t sequence, bool publication, SteadyTime now,
+           ControlCommands::SubmissionCallback done);
+
+  // Answers submissions that the controller has read back.
+  void Check(const OwnershipController& controller);
+
+  // Answers submissions that were not read back in time: they may still take
+  // effect.
+  void ExpireOld(SteadyTime now);
+
+ private:
+  struct Waiting {
+    bool publication = false;
+    SteadyTime give_up_at;
+    ControlCommands::SubmissionCallback done;
+  };
+
+  std::map<std::uint64_t, Waiting> waiting_;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_ROUTER_SUBMISSION_TRACKER_H_
--- a/Source/telemetry/event_log.cc
+++ b/Source/telemetry/event_log.cc
@@ -82,8 +82,8 @@
 }
 
 EventLevel ParseEventLevel(std::string_view text) {
-  if (text == "debug") return EventLevel::kDebug;
-  if (text == "warning") return EventLevel::kWarning;
+  if (text == "trace" || text == "debug") return EventLevel::kDebug;
+  if (text == "warn") return EventLevel::kWarning;
   if (text == "error") return EventLevel::kError;
   return EventLevel::kInfo;
 }
--- a/Source/telemetry/event_log.h
+++ b/Source/telemetry/event_log.h
@@ -18,7 +18,8 @@
 std::string FormatEvent(std::string_view event, unsigned code,
                         const EventFields& fields);
 
-// Parses debug, info, warning or error; info for any other text.
+// Parses trace, debug, info, warn or error, as in the settings; info for any
+// other text.
 EventLevel ParseEventLevel(std::string_view text);
 
 // Starts the writer thread and sets the least level that is written. Call once
