--- a/Tests/Platform/http_limits_test.cc
+++ b/Tests/Platform/http_limits_test.cc
@@ -23,7 +23,8 @@
 struct ServerFixture {
   ServerFixture()
       : server(loop, Options(),
-               [this](const HttpRequest& request, HttpServer::Respond respond) {
+               [this](const HttpRequest& request,
+                      const HttpServer::Respond& respond) {
                  ++handled;
                  respond({200, {}, request.body});
                }),
@@ -121,8 +122,8 @@
   ServerFixture fixture;
   auto socket = fixture.Connect();
   const bool answered = std::string(input.status).size() > 0;
-  const std::string answer =
-      fixture.Exchange(socket, input.text, Milliseconds(answered ? 50 : 500));
+  const Milliseconds time{answered ? 50 : 500};
+  const std::string answer = fixture.Exchange(socket, input.text, time);
   BOOST_CHECK_EQUAL(answer.substr(0, 12), input.status);
   BOOST_CHECK_EQUAL(fixture.handled, input.handled);
   BOOST_CHECK_EQUAL(fixture.faults[input.fault],
@@ -161,6 +162,7 @@
 BOOST_AUTO_TEST_CASE(ConnectionsAboveTheLimitAreRefused) {
   ServerFixture fixture;
   std::vector<tcp::socket> sockets;
+  sockets.reserve(6);
   for (int i = 0; i < 6; ++i) sockets.push_back(fixture.Connect());
   BOOST_CHECK_EQUAL(fixture.server.connections(), 4U);
   BOOST_CHECK_EQUAL(fixture.faults[ResultCode::kNotRunRouterOverloaded], 2);
--- a/Tests/Platform/log_contract_test.cc
+++ b/Tests/Platform/log_contract_test.cc
@@ -1,8 +1,10 @@
 // Contract of LogService, run against the log stand-in.
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <iterator>
 
 #include "StandIn/await.h"
 #include "StandIn/log_stand_in.h"
@@ -85,7 +87,8 @@
   }
   const LogPage page = fixture.Read(read.from, {}, read.max).value();
   std::vector<std::uint64_t> offsets;
-  for (const LogEntry& entry : page.entries) offsets.push_back(entry.offset);
+  std::ranges::transform(page.entries, std::back_inserter(offsets),
+                         &LogEntry::offset);
   BOOST_TEST(offsets == read.offsets, boost::test_tools::per_element());
   BOOST_CHECK_EQUAL(page.next_offset, 5U);
 }
