--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -14,6 +14,7 @@
 constexpr Milliseconds kBackupTimeout{2000};
 constexpr Milliseconds kBackupReplyTimeout{1000};
 constexpr Milliseconds kHandoverInterval{300};
+constexpr Milliseconds kMoveTimeout{3000};
 // Target in the record of a transfer that was refused.
 constexpr const char* kRefusedTarget = "refused";
 // A new endpoint may take longer to answer first than a serving one.
@@ -514,12 +515,13 @@
   const bool listed = std::ranges::any_of(candidates, [&](const auto& place) {
     return SameRef(view_.backup(), place.router);
   });
-  if (BackupUsable() && listed) return;
+  const bool wanted = !move_to_ || SameRef(view_.backup(), *move_to_);
+  if (BackupUsable() && listed && wanted) return;
   std::erase_if(candidates, [&](const RouterPlace& place) {
     return declined_backups_.contains(place.router.id);
   });
   const std::optional<RouterRef> backup =
-      ChooseBackup(*config, context_->self(), candidates);
+      wanted ? ChooseBackup(*config, context_->self(), candidates) : move_to_;
   if (!backup) {
     declined_backups_.clear();
     return;
@@ -734,7 +736,23 @@
 
 void EndpointPrimary::RequestHandover() { handover_ = true; }
 
+bool EndpointPrimary::MoveTo(const RouterRef& router) {
+  if (phase_ != Phase::kServing || Suspected() || proposed_ || handover_ ||
+      move_to_ || draining_) {
+    return false;
+  }
+  move_to_ = router;
+  move_started_ = context_->now();
+  return true;
+}
+
 void EndpointPrimary::TickHandover() {
+  if (move_to_ && SameRef(view_.backup(), *move_to_)) handover_ = true;
+  if (move_to_ && context_->now() > move_started_ + kMoveTimeout) {
+    // The other router did not take over; later ticks may choose another.
+    handover_ = handover_ && context_->ShuttingDown();
+    move_to_.reset();
+  }
   if (!handover_ || phase_ != Phase::kServing || proposed_ || Suspected()) {
     return;
   }
