--- a/Source/core/move_planner.cc
+++ b/Source/core/move_planner.cc
@@ -64,20 +64,33 @@
   return above == loads.begin() ? loads.end() : std::prev(above);
 }
 
+struct Shedding {
+  double self = 0;
+  double all = 0;
+};
+
+Shedding SheddingOf(const EndpointLoad& self,
+                    const std::vector<EndpointLoad>& accepting,
+                    const Bounds& bounds) {
+  const bool nearly_empty =
+      std::ranges::any_of(accepting, [&](const auto& endpoint) {
+        return endpoint.load < kNearlyEmpty * bounds.mean;
+      });
+  Shedding shedding{Excess(self, bounds, nearly_empty), 0};
+  for (const auto& endpoint : accepting) {
+    shedding.all += Excess(endpoint, bounds, nearly_empty);
+  }
+  return shedding;
+}
+
 std::vector<PlannedMove> ByLoad(const MovePlanInput& input,
                                 const EndpointLoad& self,
                                 const std::vector<EndpointLoad>& accepting,
                                 const Bounds& bounds) {
-  const bool nearly_empty = std::ranges::any_of(accepting, [&](const auto& e) {
-    return e.load < kNearlyEmpty * bounds.mean;
-  });
-  const double excess_of_all = std::accumulate(
-      accepting.begin(), accepting.end(), 0.0, [&](double sum, const auto& e) {
-        return sum + Excess(e, bounds, nearly_empty);
-      });
-  double excess = Excess(self, bounds, nearly_empty);
+  const Shedding shedding = SheddingOf(self, accepting, bounds);
+  double excess = shedding.self;
   if (excess <= 0) return {};
-  const double part = std::min(1.0, excess / std::max(excess, excess_of_all));
+  const double part = excess / shedding.all;
 
   std::vector<Target> targets;
   for (const auto& endpoint : accepting) {
@@ -158,22 +171,31 @@
   return moves;
 }
 
+double Sum(const std::vector<EndpointLoad>& fleet) {
+  return std::accumulate(
+      fleet.begin(), fleet.end(), 0.0,
+      [](double sum, const auto& endpoint) { return sum + endpoint.load; });
+}
+
+std::vector<EndpointLoad> Accepting(const std::vector<EndpointLoad>& fleet) {
+  std::vector<EndpointLoad> accepting;
+  std::ranges::copy_if(fleet, std::back_inserter(accepting),
+                       &EndpointLoad::accepting);
+  return accepting;
+}
+
 }  // namespace
 
 std::vector<PlannedMove> PlanMoves(const MovePlanInput& input) {
   const auto self =
       std::ranges::find(input.fleet, input.self, &EndpointLoad::endpoint);
-  std::vector<EndpointLoad> accepting;
-  std::ranges::copy_if(input.fleet, std::back_inserter(accepting),
-                       &EndpointLoad::accepting);
+  const auto accepting = Accepting(input.fleet);
   // An endpoint that drains is emptied by its own rule, not for balance.
   if (self == input.fleet.end() || !self->accepting || accepting.size() < 2 ||
       input.budget == 0) {
     return {};
   }
-  const double sum = std::accumulate(
-      accepting.begin(), accepting.end(), 0.0,
-      [](double total, const auto& endpoint) { return total + endpoint.load; });
+  const double sum = Sum(accepting);
   if (sum <= 0) return ByCount(input, *self, accepting);
   const Bounds bounds =
       BoundsOf(sum / static_cast<double>(accepting.size()), input.policy);
@@ -182,4 +204,17 @@
   return moves;
 }
 
+double BudgetShare(const MovePlanInput& input) {
+  const auto self =
+      std::ranges::find(input.fleet, input.self, &EndpointLoad::endpoint);
+  const auto accepting = Accepting(input.fleet);
+  if (self == input.fleet.end() || !self->accepting) return 0;
+  const auto endpoints = static_cast<double>(accepting.size());
+  const double sum = Sum(accepting);
+  if (sum <= 0) return 1 / endpoints;
+  const Shedding shedding =
+      SheddingOf(*self, accepting, BoundsOf(sum / endpoints, input.policy));
+  return shedding.all > 0 ? shedding.self / shedding.all : 0;
+}
+
 }  // namespace balsamhall
--- a/Source/core/move_planner.h
+++ b/Source/core/move_planner.h
@@ -37,6 +37,11 @@
 // that shed load. Thread-safe.
 std::vector<PlannedMove> PlanMoves(const MovePlanInput& input);
 
+// Returns the part of the service's churn budget that self may use: its part of
+// the load that all endpoints have to shed, as last gossiped; 0..1.
+// Thread-safe.
+double BudgetShare(const MovePlanInput& input);
+
 }  // namespace balsamhall
 
 #endif  // BALSAMHALL_CORE_MOVE_PLANNER_H_
--- /dev/null
+++ b/Source/dispatch/baseline_fifo_dispatcher.h
@@ -0,0 +1,42 @@
+// Baseline: first in, first out, without ranks, admission or floors.
+#ifndef BALSAMHALL_DISPATCH_BASELINE_FIFO_DISPATCHER_H_
+#define BALSAMHALL_DISPATCH_BASELINE_FIFO_DISPATCHER_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+
+#include "dispatch/endpoint_dispatcher.h"
+
+namespace balsamhall {
+
+// For comparison only. Counts slots and bounds the queue, nothing else; work
+// that is overdue when its turn comes is dropped. Not thread-safe.
+class FifoDispatcher {
+ public:
+  FifoDispatcher(std::uint32_t slots, std::size_t max_queued)
+      : slots_(slots), max_queued_(max_queued) {}
+
+  DispatchActions Submit(const DispatchRequest& request, SteadyTime now,
+                         WallTime wall_now);
+  DispatchActions Finish(Ticket ticket, const StoredAnswerPtr& answer,
+                         SteadyTime now, WallTime wall_now);
+  DispatchActions Tick(SteadyTime now, WallTime wall_now);
+
+ private:
+  struct Item {
+    Ticket ticket = 0;
+    SteadyTime deadline;
+  };
+
+  void StartReady(SteadyTime now, DispatchActions& actions);
+
+  std::uint32_t slots_;
+  std::size_t max_queued_;
+  std::deque<Item> queue_;
+  std::map<Ticket, SteadyTime> running_;  // with deadline
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_DISPATCH_BASELINE_FIFO_DISPATCHER_H_
--- a/Source/dispatch/endpoint_dispatcher.cc
+++ b/Source/dispatch/endpoint_dispatcher.cc
@@ -157,8 +157,7 @@
       const RankQueue::Item item = *choice->item;
       // Work that would be cut off by its deadline wastes the slot. The last
       // one is tried nevertheless, because the estimate may be wrong.
-      const bool late =
-          now_ + EstimateOf(item.ticket) > item.deadline && queue_.size() > 1;
+      const bool late = now_ + item.needed > item.deadline && queue_.size() > 1;
       if (late || item.deadline <= now_) {
         RejectQueued(item.ticket, ResultCode::kNotRunDeadline, actions);
         continue;
@@ -201,6 +200,17 @@
     return estimator_.Estimate(active_.at(ticket).kind, now_);
   }
 
+  // Time left at which the request should start. Work cut off by its deadline
+  // wastes its slot, so the mean is too little; but a kind whose deadline is
+  // tight from the start is not excluded for the spread of its service times.
+  Microseconds Needed(const DispatchRequest& request) const {
+    const auto mean = estimator_.Estimate(request.kind, now_);
+    const auto half =
+        std::chrono::duration_cast<Microseconds>(request.deadline - now_) / 2;
+    return std::min(estimator_.Enough(request.kind, now_),
+                    std::max(mean, half));
+  }
+
   // Checks a request whose id is not remembered.
   ResultCode CheckNew(const DispatchRequest& request) const {
     if (!request.idempotent) {
@@ -218,9 +228,8 @@
     if (stopped_) return *stopped_;
     if (request.deadline <= now_) return ResultCode::kNotRunDeadline;
     const auto wait = Wait(RankIndex(request.rank), request.long_running);
-    const auto cost = estimator_.Estimate(request.kind, now_);
     // A request that can start at once is tried whatever the estimate says.
-    if (wait.count() > 0 && now_ + wait + cost > request.deadline) {
+    if (wait.count() > 0 && now_ + wait + Needed(request) > request.deadline) {
       return ResultCode::kNotRunDeadline;
     }
     return ResultCode::kOk;
@@ -233,7 +242,8 @@
                                request.long_running,
                                request.deadline,
                                request.bytes,
-                               estimator_.Estimate(request.kind, now_)};
+                               estimator_.Estimate(request.kind, now_),
+                               Needed(request)};
     const auto dropped = queue_.MakeRoom(
         item,
         {options_.max_queued, options_.max_queued_bytes, Floors(options_)});
--- a/Source/dispatch/rank_queue.h
+++ b/Source/dispatch/rank_queue.h
@@ -39,7 +39,8 @@
     bool long_running = false;
     SteadyTime deadline;
     std::size_t bytes = 0;
-    Microseconds cost{0};  // estimated slot time
+    Microseconds cost{0};    // estimated slot time
+    Microseconds needed{0};  // time left to the deadline at which to start
   };
 
   // Makes room for the item by dropping the youngest items of lower ranks that
--- a/Source/dispatch/rank_shares.cc
+++ b/Source/dispatch/rank_shares.cc
@@ -9,6 +9,12 @@
 // Credit is kept for at most this long, so that a rank whose work could not
 // start for a while does not take all slots afterwards.
 constexpr double kMaxCreditSeconds = 1;
+// A rank that had more than its floor without contention waits at most this
+// long for its floor when contention begins.
+constexpr double kMaxOwnTurnDebtSeconds = 0.2;
+// A floor is a minimum. The margin covers work that is cut off by its deadline
+// and the debt from the time before a flood.
+constexpr double kMargin = 1.05;
 // Time constant of the measured use of slots.
 constexpr double kUseSeconds = 1;
 
@@ -28,10 +34,11 @@
     const double share = std::min(
         1.0, static_cast<double>(running[rank]) / static_cast<double>(slots));
     used_[rank] += decay * (share - used_[rank]);
-    const double rate = floors_[rank] * slots * 1e6;
+    const double rate = floors_[rank] * kMargin * slots * 1e6;
+    rate_[rank] = rate;
     const double earned = credit_[rank] + rate * seconds;
     // An idle rank repays what it used in advance but saves nothing.
-    credit_[rank] = queued[rank] > 0
+    credit_[rank] = queued[rank] + running[rank] > 0
                         ? std::min(earned, std::max(credit_[rank],
                                                     rate * kMaxCreditSeconds))
                         : std::min(earned, 0.0);
@@ -43,9 +50,10 @@
 }
 
 void RankShares::Spend(std::size_t rank, Microseconds cost) {
-  if (credit_[rank] <= 0) return;
+  const double least =
+      std::min(credit_[rank], -rate_[rank] * kMaxOwnTurnDebtSeconds);
   credit_[rank] =
-      std::max(0.0, credit_[rank] - static_cast<double>(cost.count()));
+      std::max(least, credit_[rank] - static_cast<double>(cost.count()));
 }
 
 Microseconds RankShares::Debt(std::size_t rank) const {
--- a/Source/dispatch/rank_shares.h
+++ b/Source/dispatch/rank_shares.h
@@ -32,7 +32,7 @@
   void Charge(std::size_t rank, Microseconds cost);
 
   // Accounts for a start in the rank's own turn: it counts towards the floor
-  // but causes no debt.
+  // but causes only a small debt.
   void Spend(std::size_t rank, Microseconds cost);
 
   double floor(std::size_t rank) const { return floors_[rank]; }
@@ -44,6 +44,7 @@
  private:
   std::array<double, kRanks> floors_;
   std::array<double, kRanks> credit_{};  // microseconds of slot time
+  std::array<double, kRanks> rate_{};    // earned per second
   std::array<double, kRanks> used_{};    // decayed share of slot time
   SteadyTime last_{};
 };
--- a/Source/dispatch/retry_budget.h
+++ b/Source/dispatch/retry_budget.h
@@ -14,8 +14,8 @@
 // thread-safe.
 class RetryBudget {
  public:
-  // Tokens saved for a short fault. Retries exceed the ratio by at most this
-  // number over the lifetime of the budget.
+  // Tokens saved for a short fault. The retries in any span of time exceed the
+  // ratio by at most this number.
   static constexpr double kMaxTokens = 10;
 
   // Precondition: ratio >= 0.
--- a/Source/dispatch/service_estimator.cc
+++ b/Source/dispatch/service_estimator.cc
@@ -17,6 +17,15 @@
 // passes unchecked numbers.
 constexpr std::size_t kMaxKinds = 256;
 
+// With exponential service times, 2% of the requests take longer.
+constexpr double kDeviations = 4;
+
+Microseconds Decayed(double value, SteadyTime last, SteadyTime now) {
+  const double idle = std::chrono::duration<double>(now - last).count();
+  const double kept = std::exp2(-std::max(0.0, idle) / kHalfLifeSeconds);
+  return Microseconds{static_cast<std::int64_t>(value * kept)};
+}
+
 }  // namespace
 
 void ServiceEstimator::Mean::Add(double sample, SteadyTime now) {
@@ -24,7 +33,10 @@
   ++samples;
   // The first samples have equal weights, so that one outlier at the start
   // does not dominate.
-  value += std::max(kWeight, 1.0 / samples) * (sample - value);
+  const double weight = std::max(kWeight, 1.0 / samples);
+  const double error = sample - value;
+  value += weight * error;
+  deviation += weight * (std::abs(error) - deviation);
 }
 
 void ServiceEstimator::Record(std::uint32_t kind, Microseconds duration,
@@ -36,14 +48,24 @@
   }
 }
 
+const ServiceEstimator::Mean& ServiceEstimator::MeanOf(
+    std::uint32_t kind) const {
+  const auto found = by_kind_.find(kind);
+  return found != by_kind_.end() ? found->second : all_;
+}
+
 Microseconds ServiceEstimator::Estimate(std::uint32_t kind,
                                         SteadyTime now) const {
-  const auto found = by_kind_.find(kind);
-  const Mean& mean = found != by_kind_.end() ? found->second : all_;
+  const Mean& mean = MeanOf(kind);
+  if (mean.samples == 0) return kDefaultEstimate;
+  return Decayed(mean.value, mean.last, now);
+}
+
+Microseconds ServiceEstimator::Enough(std::uint32_t kind,
+                                      SteadyTime now) const {
+  const Mean& mean = MeanOf(kind);
   if (mean.samples == 0) return kDefaultEstimate;
-  const double idle = std::chrono::duration<double>(now - mean.last).count();
-  const double decay = std::exp2(-std::max(0.0, idle) / kHalfLifeSeconds);
-  return Microseconds{static_cast<std::int64_t>(mean.value * decay)};
+  return Decayed(mean.value + kDeviations * mean.deviation, mean.last, now);
 }
 
 }  // namespace balsamhall
