--- a/Tests/Benchmarks/balance_scenario.cc
+++ b/Tests/Benchmarks/balance_scenario.cc
@@ -186,6 +186,7 @@
 
 std::vector<EndpointId> Endpoints(int count) {
   std::vector<EndpointId> endpoints;
+  endpoints.reserve(static_cast<std::size_t>(count));
   for (int i = 0; i < count; ++i) endpoints.push_back(Name(i));
   return endpoints;
 }
@@ -193,12 +194,14 @@
 double ModuloImbalance(const std::vector<Key>& keys) {
   std::map<EndpointId, double> load;
   const auto endpoints = Endpoints(kEndpoints);
-  for (const auto& key : keys)
+  for (const auto& key : keys) {
     load[ModuloOwner(key.name, endpoints)] += key.rate;
+  }
   return MaxOverMean(load);
 }
 
 constexpr int kRoundsPerMinute = 12;
+constexpr int kHot = 79;  // keys of the hot set
 
 void Rounds(Fleet& fleet, int rounds) {
   for (int i = 0; i < rounds; ++i) fleet.Round();
@@ -265,7 +268,6 @@
 }
 
 std::vector<Sample> RunHotSet(std::uint64_t seed) {
-  constexpr int kHot = 79;
   Fleet fleet(HotKeys(seed, 0, kHot), seed);
   Rounds(fleet, 10 * kRoundsPerMinute);
   const double settled = fleet.Imbalance();
--- a/Tests/Benchmarks/choice_scenario.cc
+++ b/Tests/Benchmarks/choice_scenario.cc
@@ -60,7 +60,8 @@
     }
     // Requests that still wait count with their age.
     for (const auto& request : requests_) {
-      if (!request.done) latencies_.push_back(now_ - request.arrived);
+      if (request.done) continue;
+      latencies_.push_back(static_cast<double>(now_) - request.arrived);
     }
     return latencies_;
   }
@@ -153,8 +154,9 @@
       } else if (reports_ == Reports::kLying) {
         load = i == 0 ? 0 : i == 1 ? 1 : load;  // slow: "idle"; fast: "full"
       }
-      for (auto& balancer : balancers_)
+      for (auto& balancer : balancers_) {
         balancer.OnReport(Name(i), load, Time(now_));
+      }
     }
   }
 
