Make a log reset account for every endpoint of its service

Partitions that no census showed as expected at the reset endpoint stayed without an owner.

The census now keeps claims over all answers, is repeated until the reset is resolved, and contains the partitions that a primary released with their targets. A reset waits until every other endpoint of the service has a primary in the census, or a later reset that every router has applied, which heartbeats show by their log offset. The last of several resets takes what nobody claims.

--- a/Source/core/control_context.h
+++ b/Source/core/control_context.h
@@ -36,6 +36,15 @@
   // Null if the configuration does not have it.
   virtual const schema::EndpointConfig* FindEndpoint(
       const EndpointId& endpoint) const = 0;
+  // Endpoints of a service in the configuration in force.
+  virtual std::vector<EndpointId> EndpointsOf(
+      const ServiceId& service) const = 0;
+  // Log offset of the first view of an endpoint's chain of terms; 0 if it has
+  // none.
+  virtual std::uint64_t ChainOffset(const EndpointId& endpoint) const = 0;
+  // True if every router that is not proved gone has applied the record at
+  // this offset.
+  virtual bool AppliedByAll(std::uint64_t offset) const = 0;
   // Longest deadline of the kinds of a service.
   virtual Milliseconds LongestDeadline(const ServiceId& service) const = 0;
   // View with the highest term that this router has heard of.
--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -233,6 +233,32 @@
   return found == endpoints_.end() ? nullptr : found->second.second;
 }
 
+std::vector<EndpointId> OwnershipController::Impl::EndpointsOf(
+    const ServiceId& service) const {
+  std::vector<EndpointId> endpoints;
+  const auto found = services_.find(service);
+  if (found == services_.end()) return endpoints;
+  for (const auto& endpoint : found->second.config->endpoints()) {
+    endpoints.push_back(endpoint.name());
+  }
+  return endpoints;
+}
+
+std::uint64_t OwnershipController::Impl::ChainOffset(
+    const EndpointId& endpoint) const {
+  const schema::View* view = fleet_.BaseView(endpoint);
+  return view == nullptr ? 0 : view->term().offset();
+}
+
+bool OwnershipController::Impl::AppliedByAll(std::uint64_t offset) const {
+  const std::vector<RouterRef> routers = OtherRouters();
+  return std::ranges::all_of(routers, [&](const RouterRef& router) {
+    const Membership::Heard* heard = membership_.Find(router.id);
+    return heard != nullptr && SameRef(heard->heartbeat.sender(), router) &&
+           heard->heartbeat.log_offset() > offset;
+  });
+}
+
 Milliseconds OwnershipController::Impl::LongestDeadline(
     const ServiceId& service) const {
   const auto found = services_.find(service);
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -56,6 +56,9 @@
   std::vector<RouterRef> OtherRouters() const override;
   const schema::EndpointConfig* FindEndpoint(
       const EndpointId& endpoint) const override;
+  std::vector<EndpointId> EndpointsOf(const ServiceId& service) const override;
+  std::uint64_t ChainOffset(const EndpointId& endpoint) const override;
+  bool AppliedByAll(std::uint64_t offset) const override;
   Milliseconds LongestDeadline(const ServiceId& service) const override;
   std::optional<schema::View> KnownView(
       const EndpointId& endpoint) const override;
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -95,7 +95,8 @@
   heartbeat->set_sequence(++heartbeat_sequence_);
   heartbeat->set_config_version(config_.current().version());
   heartbeat->set_config_digest(config_.current().digest());
-  heartbeat->set_log_offset(next_offset_);
+  // Records are buffered, not applied, until the end of the log is reached.
+  heartbeat->set_log_offset(started_ ? next_offset_ : 0);
   heartbeat->set_routing_digest(table_.DigestOf(self_.id));
   heartbeat->set_ready(config_.current().version() > 0);
   heartbeat->set_leaving(shutdown_since_.has_value());
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -20,7 +20,7 @@
       lapse_(lapse) {}
 
 void EndpointReset::OnTick() {
-  if (CensusComplete()) {
+  if (CensusComplete() && OthersAccounted()) {
     if (!complete_at_) complete_at_ = context_->now();
   } else {
     complete_at_.reset();
@@ -28,7 +28,6 @@
   if (context_->now() < last_sent_ + kRepeatInterval) return;
   last_sent_ = context_->now();
   for (const RouterRef& router : context_->OtherRouters()) {
-    if (replies_.contains(router)) continue;
     schema::PeerMessage message = MakePeerMessage(context_->self());
     auto* request = message.mutable_locate_request();
     request->set_service(service_);
@@ -52,40 +51,72 @@
         return claims.view().endpoint() == view_.endpoint() &&
                !claims.view().primary().id().empty();
       });
-  if (!still_primary) replies_[from] = reply;
+  if (still_primary) return;
+  answered_.insert(from);
+  Merge(reply);
 }
 
 void EndpointReset::SetOwnClaims(const schema::LocateReply& reply) {
-  own_.reset();
-  if (!reply.resolving()) own_ = reply;
+  own_answer_ = !reply.resolving();
+  if (own_answer_) Merge(reply);
 }
 
 void EndpointReset::OnGrantResponse(const schema::GrantResponse& response) {
   if (response.full_state()) endpoint_state_ = response;
 }
 
+void EndpointReset::Merge(const schema::LocateReply& reply) {
+  const auto claim = [&](PartitionId partition, const Claim& found) {
+    Claim& best = claims_[partition];
+    if (best.epoch < found.epoch || (best.epoch == found.epoch && found.held)) {
+      best = found;
+    }
+  };
+  for (const auto& claims : reply.claims()) {
+    const EndpointId& endpoint = claims.view().endpoint();
+    if (!claims.view().primary().id().empty()) with_primary_.insert(endpoint);
+    for (const auto& entry : claims.held()) {
+      claim(entry.partition(), {FromProto(entry.epoch()), endpoint, true});
+    }
+    for (const auto& record : claims.released()) {
+      claim(record.partition(), {FromProto(record.epoch()).Next(),
+                                 record.target_endpoint(), false});
+    }
+  }
+}
+
 bool EndpointReset::CensusComplete() const {
   const std::vector<RouterRef> routers = context_->OtherRouters();
-  return own_ && std::ranges::all_of(routers, [&](const RouterRef& router) {
-           return replies_.contains(router);
+  return own_answer_ &&
+         std::ranges::all_of(routers, [&](const RouterRef& router) {
+           return answered_.contains(router);
          });
 }
 
-std::map<PartitionId, EndpointReset::Claim> EndpointReset::HighestClaims()
-    const {
-  std::map<PartitionId, Claim> highest;
-  const auto merge = [&](const schema::LocateReply& reply) {
-    for (const auto& claims : reply.claims()) {
-      for (const auto& entry : claims.held()) {
-        Claim& best = highest[entry.partition()];
-        const Fence epoch = FromProto(entry.epoch());
-        if (best.epoch < epoch) best = {epoch, claims.view().endpoint()};
-      }
+bool EndpointReset::OthersAccounted() const {
+  const std::vector<EndpointId> endpoints = context_->EndpointsOf(service_);
+  return std::ranges::all_of(endpoints, [&](const EndpointId& endpoint) {
+    if (endpoint == view_.endpoint() || with_primary_.contains(endpoint)) {
+      return true;
     }
-  };
-  for (const auto& [router, reply] : replies_) merge(reply);
-  merge(*own_);
-  return highest;
+    const std::uint64_t chain = context_->ChainOffset(endpoint);
+    // Earlier resets of the service finish first, see LocateReply.resolving.
+    return chain == 0 ||
+           (chain > term().offset && context_->AppliedByAll(chain));
+  });
+}
+
+bool EndpointReset::ClaimedElsewhere(PartitionId partition) const {
+  const auto claim = claims_.find(partition);
+  return claim != claims_.end() &&
+         (claim->second.held || claim->second.endpoint != view_.endpoint());
+}
+
+bool EndpointReset::IsLastReset() const {
+  const std::vector<EndpointId> endpoints = context_->EndpointsOf(service_);
+  return std::ranges::all_of(endpoints, [&](const EndpointId& endpoint) {
+    return endpoint == view_.endpoint() || with_primary_.contains(endpoint);
+  });
 }
 
 std::optional<EndpointPrimary::Start> EndpointReset::Resolve(
@@ -93,7 +124,6 @@
   if (!complete_at_ || context_->now() < *complete_at_ + lapse_) {
     return std::nullopt;
   }
-  const std::map<PartitionId, Claim> claims = HighestClaims();
   EndpointPrimary::Start start;
   start.service = service_;
   start.view = view_;
@@ -111,21 +141,22 @@
     start.evict_at = context_->now();
   }
   for (const auto& [partition, epoch] : at_endpoint) {
-    const auto claim = claims.find(partition);
-    if (claim == claims.end()) continue;
+    if (!ClaimedElsewhere(partition)) continue;
     schema::ReleasedPartition record;
     record.set_partition(partition);
     *record.mutable_epoch() = ToProto(epoch);
     // A claim of the endpoint's former primary names no target yet.
-    if (claim->second.endpoint != view_.endpoint()) {
-      record.set_target_endpoint(claim->second.endpoint);
-    }
+    const EndpointId& owner = claims_.at(partition).endpoint;
+    if (owner != view_.endpoint()) record.set_target_endpoint(owner);
     start.history.push_back(record);
   }
+  const bool last = IsLastReset();
   for (PartitionId partition = 0; partition < expected_owner.size();
        ++partition) {
-    if (claims.contains(partition)) continue;
-    if (at_endpoint.contains(partition) ||
+    if (ClaimedElsewhere(partition)) continue;
+    // The last reset takes what no endpoint claims at all.
+    if (last || claims_.contains(partition) ||
+        at_endpoint.contains(partition) ||
         expected_owner[partition] == view_.endpoint()) {
       start.partitions[partition] = term();
     }
--- a/Source/core/endpoint_reset.h
+++ b/Source/core/endpoint_reset.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "core/control_context.h"
@@ -15,8 +16,11 @@
 
 // Runs at the primary that an accepted ViewReset record names. Every router
 // that is not proved gone must answer a census; a router that answers has given
-// up the old view. Then nobody renews the endpoint's lease any more, so after
-// one lease its partitions may be granted anew. Not thread-safe.
+// up the old view. Every other endpoint of the service must have a primary in
+// the census, or a later reset that every router has applied: else a failover
+// could still renew a lease on partitions that the census does not show. Then,
+// after one lease, the partitions that nobody claims may be granted anew. Not
+// thread-safe.
 class EndpointReset {
  public:
   // lapse is the time after which no lease and no running work of the old view
@@ -43,18 +47,29 @@
   struct Claim {
     Fence epoch;
     EndpointId endpoint;
+    bool held = false;  // by a primary, else only released to the endpoint
   };
 
+  void Merge(const schema::LocateReply& reply);
   bool CensusComplete() const;
-  std::map<PartitionId, Claim> HighestClaims() const;
+  // True if no other endpoint of the service can get a lease that the census
+  // does not show.
+  bool OthersAccounted() const;
+  // True if another primary or a later reset decides about the partition.
+  bool ClaimedElsewhere(PartitionId partition) const;
+  bool IsLastReset() const;
 
   ControlContext* context_;
   ServiceId service_;
   schema::View view_;
   std::uint64_t query_;
   Milliseconds lapse_;
-  std::map<RouterRef, schema::LocateReply> replies_;
-  std::optional<schema::LocateReply> own_;
+  bool own_answer_ = false;
+  std::set<RouterRef> answered_;
+  // Claims are kept over all answers: a partition that moves or an endpoint
+  // that is handed over between two answers would be in neither of the latest.
+  std::map<PartitionId, Claim> claims_;
+  std::set<EndpointId> with_primary_;
   std::optional<schema::GrantResponse> endpoint_state_;
   std::optional<SteadyTime> complete_at_;
   SteadyTime last_sent_;
--- /dev/null
+++ b/Tests/Core/fake_control_context.h
@@ -0,0 +1,69 @@
+// Context of one per-endpoint state machine, with settable answers.
+#ifndef BALSAMHALL_TESTS_CORE_FAKE_CONTROL_CONTEXT_H_
+#define BALSAMHALL_TESTS_CORE_FAKE_CONTROL_CONTEXT_H_
+
+#include <map>
+#include <vector>
+
+#include "core/control_context.h"
+
+namespace balsamhall {
+
+class FakeControlContext final : public ControlContext {
+ public:
+  SteadyTime time{Milliseconds(1'000'000)};
+  RouterRef router{"r1", 1};
+  OwnershipOptions settings;
+  OwnershipActions actions;
+  std::vector<RouterRef> others;
+  std::vector<EndpointId> endpoints;
+  std::map<EndpointId, std::uint64_t> chains;
+  bool applied_by_all = false;
+
+  SteadyTime now() const override { return time; }
+  const RouterRef& self() const override { return router; }
+  const OwnershipOptions& options() const override { return settings; }
+  void Emit(OwnershipAction action) override {
+    actions.push_back(std::move(action));
+  }
+  std::uint64_t NextGrantSequence() override { return ++sequence_; }
+  Milliseconds SilenceOf(const RouterRef&) const override { return {}; }
+  bool IsGone(const RouterRef&) const override { return false; }
+  std::vector<RouterPlace> Candidates() const override { return {}; }
+  std::vector<RouterRef> OtherRouters() const override { return others; }
+  const schema::EndpointConfig* FindEndpoint(const EndpointId&) const override {
+    return nullptr;
+  }
+  std::vector<EndpointId> EndpointsOf(const ServiceId&) const override {
+    return endpoints;
+  }
+  std::uint64_t ChainOffset(const EndpointId& endpoint) const override {
+    const auto found = chains.find(endpoint);
+    return found == chains.end() ? 0 : found->second;
+  }
+  bool AppliedByAll(std::uint64_t) const override { return applied_by_all; }
+  Milliseconds LongestDeadline(const ServiceId&) const override {
+    return Milliseconds(1000);
+  }
+  std::optional<schema::View> KnownView(const EndpointId&) const override {
+    return std::nullopt;
+  }
+  Fence HighestEpoch(const ServiceId&, PartitionId) const override {
+    return {};
+  }
+  std::map<PartitionId, EndpointId> Targets(
+      const ServiceId&, const std::map<PartitionId, double>&,
+      const EndpointId&) const override {
+    return {};
+  }
+  void RecordMove(const schema::MoveEvent&) override {}
+  void RoutingDirty() override {}
+  bool ShuttingDown() const override { return false; }
+
+ private:
+  std::uint64_t sequence_ = 0;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_TESTS_CORE_FAKE_CONTROL_CONTEXT_H_
