Do not take a late drop from the VM list for the loss of a new process

The list lags. A false loss can also start a log reset.

The drop now proves the loss only of processes that had joined when the VM was last listed.

--- a/Source/core/fleet_register.cc
+++ b/Source/core/fleet_register.cc
@@ -106,12 +106,18 @@
   }
   for (const std::string& vm : listed_) {
     if (now_listed.contains(vm)) continue;
-    const auto router = routers_.find(vm);
-    dropped_[vm] = router == routers_.end() ? 0 : router->second.incarnation;
+    // A process that joined lately may be missing because the list lags.
+    const auto seen = listed_incarnation_.find(vm);
+    dropped_[vm] = seen == listed_incarnation_.end() ? 0 : seen->second;
   }
   for (const std::string& vm : now_listed) {
     // A router of a relisted VM is judged by its incarnation, not by the list.
-    if (!routers_.contains(vm)) dropped_.erase(vm);
+    const auto router = routers_.find(vm);
+    if (router == routers_.end()) {
+      dropped_.erase(vm);
+    } else {
+      listed_incarnation_[vm] = router->second.incarnation;
+    }
   }
   listed_ = std::move(now_listed);
 }
--- a/Source/core/fleet_register.h
+++ b/Source/core/fleet_register.h
@@ -75,7 +75,9 @@
   std::map<std::string, std::uint64_t> declared_lost_;  // VM -> offset
   std::set<std::string> listed_;
   std::set<std::string> leaving_;
-  // VM -> latest incarnation known when the list dropped it.
+  // VM -> latest incarnation that had joined when the VM was listed.
+  std::map<std::string, std::uint64_t> listed_incarnation_;
+  // VM -> that incarnation when the list dropped it.
   std::map<std::string, std::uint64_t> dropped_;
 };
 
