--- a/Tests/Ownership/ownership_checks.cc
+++ b/Tests/Ownership/ownership_checks.cc
@@ -55,6 +55,7 @@
   for (const auto& held : state.held()) {
     const PartitionKey key{endpoint->service, held.partition()};
     const Fence epoch = FromProto(held.epoch());
+    granted_[key] = std::max(granted_[key], epoch);
     if (endpoint->holder->Owns(held.partition(), now)) {
       CheckOwner(endpoint, key, epoch);
     }
@@ -110,9 +111,8 @@
     const PartitionKey key{reply.service(), partition.partition()};
     // The target may have been lost since, and its primary may have moved the
     // partition on under a higher epoch before it answers.
-    const auto latest = latest_.find(key);
     const Fence epoch = FromProto(partition.epoch());
-    if (latest == latest_.end() || latest->second.epoch < epoch) {
+    if (granted_[key] < epoch) {
       throw FailedCheck(fmt::format(
           "P2: {} acknowledged the transfer of {} to {}, but no endpoint held "
           "it under epoch {}",
--- a/Tests/Ownership/ownership_checks.h
+++ b/Tests/Ownership/ownership_checks.h
@@ -61,6 +61,8 @@
 
   Fleet* fleet_;
   std::map<PartitionKey, Owned> latest_;
+  // Highest epoch that an endpoint was granted, also one with a lapsed lease.
+  std::map<PartitionKey, Fence> granted_;
   ConfigRegister reference_;
   std::size_t reference_read_ = 0;
   std::map<std::uint64_t, std::string> accepted_;  // version and digest
