--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -246,9 +246,11 @@
   const auto config = endpoints_.find(endpoint);
   if (config == endpoints_.end()) return;
   const ServiceId& service = config->second.first->name();
-  const Milliseconds lapse = std::chrono::duration_cast<Milliseconds>(
-                                 LeaseBound(options_, now_) - now_) +
-                             LongestDeadline(service);
+  auto lapse = std::chrono::duration_cast<Milliseconds>(
+      LeaseBound(options_, now_) - now_);
+  // Without fence checks the authority of the old primary takes its place.
+  if (!ChecksFences(endpoint)) lapse += options_.authority_time;
+  lapse += LongestDeadline(service);
   resets_.emplace(endpoint,
                   EndpointReset(this, service, view, ++locate_query_, lapse));
   Emit(ReportEvent{
