Find claims that move during a census

A log reset asked a router before it became primary of an endpoint and asked the old primary after it had lost that role, so nobody reported the endpoint's partitions.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -972,6 +972,11 @@
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
     add(partition, outgoing.epoch);
   }
+  for (const auto& [partition, record] : history_) {
+    if (record.target_endpoint() != kRefusedTarget) {
+      *claims.add_released() = record;
+    }
+  }
   return claims;
 }
 
