--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -969,10 +969,20 @@
   for (const auto& [partition, holding] : holdings_) {
     add(partition, holding.epoch);
   }
+  // The target may already hold a partition on its way, at the same epoch.
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
-    add(partition, outgoing.epoch);
+    if (outgoing.target.empty()) {
+      add(partition, outgoing.epoch);
+      continue;
+    }
+    auto* record = claims.add_released();
+    record->set_partition(partition);
+    *record->mutable_epoch() =
+        ToProto(Fence{outgoing.epoch.offset, outgoing.epoch.counter - 1});
+    record->set_target_endpoint(outgoing.target);
   }
   for (const auto& [partition, record] : history_) {
+    if (transfers_.outgoing().contains(partition)) continue;
     if (record.target_endpoint() != kRefusedTarget) {
       *claims.add_released() = record;
     }
