--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -87,13 +87,6 @@
     SteadyTime at;
     schema::GrantResponse state;
   };
-  // What this router knew about an endpoint when it stopped being primary. A
-  // census that asked the next primary too early finds it here.
-  struct PastClaims {
-    ServiceId service;
-    schema::EndpointClaims claims;
-    SteadyTime until;
-  };
   struct BufferedRecord {
     std::uint64_t offset = 0;
     schema::LogRecord record;
@@ -242,7 +235,6 @@
   std::uint64_t locate_query_ = 0;
   std::map<EndpointId, std::unique_ptr<EndpointPrimary>> primaries_;
   std::vector<std::unique_ptr<EndpointPrimary>> retired_;
-  std::vector<PastClaims> past_claims_;
   std::map<EndpointId, EndpointBackup> backups_;
   std::map<EndpointId, EndpointReset> resets_;
   std::map<EndpointId, PendingReset> pending_resets_;
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -299,10 +299,6 @@
       *reply.add_claims() = primary->Claims();
     }
   }
-  for (const PastClaims& past : past_claims_) {
-    if (past.service == service) *reply.add_claims() = past.claims;
-  }
-  table_.AddClaims(service, &reply);
   return reply;
 }
 
--- a/Source/core/controller_roles.cc
+++ b/Source/core/controller_roles.cc
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr Milliseconds kHealthInterval{500};
-// Longer than a census that is not blocked by an unreachable router.
-constexpr Milliseconds kPastClaimsRetention{60000};
 constexpr Milliseconds kPlacementInterval{2000};
 // A backup without a replacement does not hold up a shutdown for longer.
 constexpr Milliseconds kShutdownBackupWait{3000};
@@ -48,10 +46,6 @@
   if (found == primaries_.end()) return;
   std::unique_ptr<EndpointPrimary> primary = std::move(found->second);
   primaries_.erase(found);
-  schema::EndpointClaims claims = primary->Claims();
-  claims.mutable_view()->clear_primary();
-  past_claims_.push_back(
-      {primary->service(), std::move(claims), now_ + kPastClaimsRetention});
   primary->Demote(keep_transfers);
   if (!primary->finished()) retired_.push_back(std::move(primary));
   RoutingDirty();
@@ -94,8 +88,6 @@
   for (const auto& primary : retired_) primary->OnTick();
   std::erase_if(retired_,
                 [](const auto& primary) { return primary->finished(); });
-  std::erase_if(past_claims_,
-                [this](const PastClaims& past) { return now_ >= past.until; });
   for (auto& [endpoint, backup] : backups_) backup.OnTick();
   std::erase_if(backups_,
                 [](const auto& item) { return item.second.retired(); });
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -74,38 +74,17 @@
 std::map<PartitionId, EndpointReset::Claim> EndpointReset::HighestClaims()
     const {
   std::map<PartitionId, Claim> highest;
-  const auto note = [&](PartitionId partition, const Fence& epoch,
-                        const EndpointId& endpoint) {
-    Claim& best = highest[partition];
-    if (best.epoch < epoch) best = {epoch, endpoint};
-  };
   const auto merge = [&](const schema::LocateReply& reply) {
     for (const auto& claims : reply.claims()) {
       for (const auto& entry : claims.held()) {
-        note(entry.partition(), FromProto(entry.epoch()),
-             claims.view().endpoint());
-      }
-      // A partition that left one endpoint may have moved to one whose primary
-      // answered before.
-      for (const auto& record : claims.released()) {
-        if (record.target_endpoint().empty()) continue;
-        note(record.partition(), FromProto(record.epoch()).Next(),
-             record.target_endpoint());
+        Claim& best = highest[entry.partition()];
+        const Fence epoch = FromProto(entry.epoch());
+        if (best.epoch < epoch) best = {epoch, claims.view().endpoint()};
       }
     }
   };
   for (const auto& [router, reply] : replies_) merge(reply);
   merge(*own_);
-  if (endpoint_state_) {
-    for (const auto& entry : endpoint_state_->held()) {
-      note(entry.partition(), FromProto(entry.epoch()), view_.endpoint());
-    }
-    for (const auto& record : endpoint_state_->released()) {
-      if (record.target_endpoint().empty()) continue;
-      note(record.partition(), FromProto(record.epoch()).Next(),
-           record.target_endpoint());
-    }
-  }
   return highest;
 }
 
@@ -131,23 +110,26 @@
     // Nobody renews the lease, so the endpoint's partitions can move.
     start.evict_at = context_->now();
   }
-  for (PartitionId partition = 0; partition < expected_owner.size();
-       ++partition) {
+  for (const auto& [partition, epoch] : at_endpoint) {
     const auto claim = claims.find(partition);
-    const EndpointId& owner = claim == claims.end() ? expected_owner[partition]
-                                                    : claim->second.endpoint;
-    if (owner == view_.endpoint()) {
-      start.partitions[partition] = term();
-      continue;
-    }
-    const auto held = at_endpoint.find(partition);
-    if (held == at_endpoint.end()) continue;
+    if (claim == claims.end()) continue;
     schema::ReleasedPartition record;
     record.set_partition(partition);
-    *record.mutable_epoch() = ToProto(held->second);
-    record.set_target_endpoint(owner);
+    *record.mutable_epoch() = ToProto(epoch);
+    // A claim of the endpoint's former primary names no target yet.
+    if (claim->second.endpoint != view_.endpoint()) {
+      record.set_target_endpoint(claim->second.endpoint);
+    }
     start.history.push_back(record);
   }
+  for (PartitionId partition = 0; partition < expected_owner.size();
+       ++partition) {
+    if (claims.contains(partition)) continue;
+    if (at_endpoint.contains(partition) ||
+        expected_owner[partition] == view_.endpoint()) {
+      start.partitions[partition] = term();
+    }
+  }
   return start;
 }
 
--- a/Source/core/routing_table.cc
+++ b/Source/core/routing_table.cc
@@ -109,16 +109,6 @@
   return owners;
 }
 
-void RoutingTable::AddClaims(const ServiceId& service,
-                             schema::LocateReply* reply) const {
-  for (const auto& [endpoint, entry] : entries_) {
-    if (entry.routing.service() != service) continue;
-    schema::EndpointClaims* claims = reply->add_claims();
-    claims->mutable_view()->set_endpoint(endpoint);
-    *claims->mutable_held() = entry.routing.partitions();
-  }
-}
-
 void RoutingTable::Fill(const schema::RoutingConfig& config,
                         RoutingSnapshot* snapshot) const {
   for (const auto& service : config.services()) {
--- a/Source/core/routing_table.h
+++ b/Source/core/routing_table.h
@@ -37,9 +37,6 @@
   std::vector<EndpointId> Owners(const ServiceId& service,
                                  std::uint32_t partitions) const;
 
-  // Adds what every endpoint of a service was last reported to own.
-  void AddClaims(const ServiceId& service, schema::LocateReply* reply) const;
-
   // Fills in services and endpoints of a snapshot from the configuration.
   void Fill(const schema::RoutingConfig& config,
             RoutingSnapshot* snapshot) const;
