--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -987,6 +987,13 @@
       *claims.add_released() = record;
     }
   }
+  for (const auto& [partition, record] : history_) {
+    if (record.target_endpoint().empty() ||
+        record.target_endpoint() == kRefusedTarget) {
+      continue;
+    }
+    *claims.add_released() = record;
+  }
   return claims;
 }
 
