Let an endpoint keep what it holds under the claimed epoch

Cause: a reset dropped a partition whose transfer to the endpoint was open at its source under the same epoch; the source was then told that the transfer is done, and nobody owned the partition.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -981,15 +981,10 @@
         ToProto(Fence{outgoing.epoch.offset, outgoing.epoch.counter - 1});
     record->set_target_endpoint(outgoing.target);
   }
-  for (const auto& [partition, record] : history_) {
-    if (transfers_.outgoing().contains(partition)) continue;
-    if (record.target_endpoint() != kRefusedTarget) {
-      *claims.add_released() = record;
-    }
-  }
   for (const auto& [partition, record] : history_) {
     if (record.target_endpoint().empty() ||
-        record.target_endpoint() == kRefusedTarget) {
+        record.target_endpoint() == kRefusedTarget ||
+        transfers_.outgoing().contains(partition)) {
       continue;
     }
     *claims.add_released() = record;
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -106,8 +106,22 @@
   });
 }
 
+bool EndpointReset::HeldByEndpoint(PartitionId partition,
+                                   const Claim& claim) const {
+  return endpoint_state_ &&
+         std::ranges::any_of(endpoint_state_->held(), [&](const auto& held) {
+           return held.partition() == partition &&
+                  FromProto(held.epoch()) >= claim.epoch;
+         });
+}
+
 bool EndpointReset::ClaimedElsewhere(PartitionId partition) const {
   const auto claim = claims_.find(partition);
+  // An epoch has one owner: the endpoint itself is the target of a transfer
+  // that its source still reports as open.
+  if (claim != claims_.end() && HeldByEndpoint(partition, claim->second)) {
+    return false;
+  }
   return claim != claims_.end() &&
          (claim->second.held || claim->second.endpoint != view_.endpoint());
 }
--- a/Source/core/endpoint_reset.h
+++ b/Source/core/endpoint_reset.h
@@ -55,6 +55,7 @@
   // True if no other endpoint of the service can get a lease that the census
   // does not show.
   bool OthersAccounted() const;
+  bool HeldByEndpoint(PartitionId partition, const Claim& claim) const;
   // True if another primary or a later reset decides about the partition.
   bool ClaimedElsewhere(PartitionId partition) const;
   bool IsLastReset() const;
