Read the operators' sheet

Cause: operators keep the configuration in a sheet that is exported as CSV; the running configuration has to match it.

--- /dev/null
+++ b/Source/config/csv_table.h
@@ -0,0 +1,40 @@
+// Rows and cells of a CSV text.
+#ifndef BALSAMHALL_CONFIG_CSV_TABLE_H_
+#define BALSAMHALL_CONFIG_CSV_TABLE_H_
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "core/result_code.h"
+
+namespace balsamhall {
+
+// One fault of a sheet. Row and column count from 1, as a spreadsheet shows
+// them; column 0 stands for the whole row, row 0 for the whole sheet.
+struct SheetFault {
+  std::size_t row = 0;
+  std::size_t column = 0;
+  std::string reason;
+  ResultCode code = ResultCode::kSheetInvalid;
+};
+
+struct CsvRow {
+  std::size_t row = 0;  // line on which it begins
+  std::vector<std::string> cells;
+};
+
+struct CsvTable {
+  std::vector<CsvRow> rows;  // without empty rows
+  std::vector<SheetFault> faults;
+};
+
+// Parses comma-separated text in UTF-8, with or without a byte order mark.
+// After a fault it continues with the next line, so that all faults are found
+// in one pass; it stops after 200 faults. Thread-safe.
+CsvTable ParseCsv(std::string_view text);
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CONFIG_CSV_TABLE_H_
--- /dev/null
+++ b/Source/config/sheet_reader.h
@@ -0,0 +1,95 @@
+// Builds a configuration from the rows of a sheet.
+#ifndef BALSAMHALL_CONFIG_SHEET_READER_H_
+#define BALSAMHALL_CONFIG_SHEET_READER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "config/csv_table.h"
+#include "core/types.h"
+
+namespace balsamhall {
+
+// Reads the table when constructed. Not thread-safe.
+class SheetReader {
+ public:
+  struct Cell {
+    std::size_t row = 0;
+    std::size_t column = 0;
+  };
+
+  explicit SheetReader(CsvTable table);
+
+  const schema::RoutingConfig& config() const { return config_; }
+  const std::vector<SheetFault>& faults() const { return faults_; }
+
+  // Returns the cell that a path of the configuration was read from, else the
+  // row of its parent.
+  Cell Locate(std::string path) const;
+
+  // Returns true for a path whose rule is broken only because rows were left
+  // out for a fault that is already reported.
+  bool IsConsequence(const std::string& path) const;
+
+ private:
+  // Cells of one row, and the columns of its section, by column name.
+  struct Record {
+    std::size_t row = 0;
+    std::map<std::string, std::string> values;
+    std::map<std::string, std::size_t> columns;
+  };
+  struct Section {
+    std::vector<std::string> columns;  // of the header row
+    std::vector<Record> records;
+    std::size_t header_row = 0;
+  };
+
+  void ReadRow(CsvRow row);
+  void ReadHeader(const std::string& name, Section& section, const CsvRow& row);
+  void ReadRecord(Section& section, CsvRow row);
+
+  void BuildCustomer();
+  void BuildServices();
+  void BuildEndpoints();
+  void BuildKinds();
+  void BuildPolicy();
+
+  // Finds the service that a record names, or reports a fault.
+  std::optional<int> ServiceOf(const Record& record);
+
+  // Each returns the value of a cell, reports a fault if it is malformed, and
+  // remembers the cell as the source of path.
+  std::string Text(const Record& record, const std::string& column,
+                   const std::string& path);
+  std::uint32_t Number(const Record& record, const std::string& column,
+                       const std::string& path);
+  bool Flag(const Record& record, const std::string& column,
+            const std::string& path);
+  double Share(const Record& record, const std::string& column,
+               const std::string& path);
+  schema::Rank RankOf(const Record& record, const std::string& path);
+
+  void Fault(std::size_t row, std::size_t column, std::string reason);
+  void Fault(const Record& record, const std::string& column,
+             std::string reason);
+
+  schema::RoutingConfig config_;
+  std::vector<SheetFault> faults_;
+  std::map<std::string, Section> sections_;
+  std::map<std::string, Cell> cells_;
+  std::map<std::string, int> services_;
+  std::set<std::string> unread_;  // paths whose column is missing
+  bool wrong_separator_ = false;
+  bool dropped_endpoint_ = false;
+  bool dropped_kind_ = false;
+};
+
+}  // namespace balsamhall
+
+#endif  // BALSAMHALL_CONFIG_SHEET_READER_H_
