Send the term with work that no partition owns

Backend servers refused idempotent work of services that are not divided by key with a stale fence, because it carried no term. The term header is now sent to every endpoint that checks fences; partition and epoch only if the request was routed by partition.

--- a/Source/router/dispatch_worker.cc
+++ b/Source/router/dispatch_worker.cc
@@ -199,12 +199,10 @@
   work.kind = job.request.kind();
   work.key = job.request.key();
   work.request_id = job.request.request_id();
-  work.fenced = job.partition.has_value();
-  if (job.partition) {
-    work.term = route_.term;
-    work.partition = *job.partition;
-    work.epoch = epoch->second;
-  }
+  work.fenced = route_.config.checks_fences();
+  work.term = route_.term;
+  work.partition = job.partition;
+  if (job.partition) work.epoch = epoch->second;
   work.remaining = std::chrono::duration_cast<Milliseconds>(job.deadline - now);
   work.traceparent = FormatTraceparent(running.backend_span);
   work.content_type = job.request.content_type();
