Find a later target for a refused transfer

The primary wrote the new target into the release record only at the refusal, when there was none, and waited for the endpoint's acknowledgement of it. The endpoint also did not answer with its records to a grant that carried only history.

The primary now records targets whenever one is found, and a grant with history is answered with the full state.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -764,13 +764,23 @@
     // The endpoint learns the new target first, for a failover in between.
     const auto outgoing = transfers_.outgoing().find(partition);
     if (outgoing == transfers_.outgoing().end()) continue;
-    history_[partition].set_target_endpoint(outgoing->second.target);
     transfers_.RequireRecord(partition);
-    state_changed_ = true;
   }
+  RecordTargets();
   if (transfers_.empty()) context_->RoutingDirty();
 }
 
+void EndpointPrimary::RecordTargets() {
+  if (phase_ != Phase::kServing) return;
+  for (const auto& [partition, outgoing] : transfers_.outgoing()) {
+    if (outgoing.recorded || outgoing.target.empty()) continue;
+    schema::ReleasedPartition& record = history_[partition];
+    if (record.target_endpoint() == outgoing.target) continue;
+    record.set_target_endpoint(outgoing.target);
+    state_changed_ = true;
+  }
+}
+
 void EndpointPrimary::Release(PartitionId partition, const EndpointId& target,
                               const std::string& cause) {
   const auto holding = holdings_.find(partition);
@@ -899,6 +909,8 @@
   TickBackup();
   TickHandover();
   transfers_.Tick();
+  // A target may be found long after the refusal of the last one.
+  RecordTargets();
   const Milliseconds interval = context_->options().renewal_interval;
   const bool due = context_->now() >= last_grant_ + interval;
   if (!due && !state_changed_) return;
--- a/Source/core/endpoint_primary.h
+++ b/Source/core/endpoint_primary.h
@@ -154,6 +154,8 @@
   bool BackupUsable() const;
   void TickDrain();
   void AssignMissingTargets();
+  // Tells the endpoint the new targets of refused transfers.
+  void RecordTargets();
   void TickHandover();
   void AnswerWaitingTransfers();
   bool AnswerTransfer(const RouterId& from, const schema::Transfer& transfer);
--- a/Source/core/lease_holder.cc
+++ b/Source/core/lease_holder.cc
@@ -138,7 +138,7 @@
   response.set_holder_time_us(ToMicros(now));
   const bool accepted = response.status() == schema::GRANT_ACCEPTED;
   bool full = request.read_only() || request.add_size() > 0 ||
-              request.release_size() > 0;
+              request.release_size() > 0 || request.history_size() > 0;
   if (accepted && !request.read_only()) {
     full |= FromProto(request.view().term()) != FromProto(view_.term());
     Apply(request);
--- a/Tests/Core/fake_control_context.h
+++ b/Tests/Core/fake_control_context.h
@@ -19,6 +19,7 @@
   std::vector<EndpointId> endpoints;
   std::map<EndpointId, std::uint64_t> chains;
   bool applied_by_all = false;
+  std::map<PartitionId, EndpointId> targets;
 
   SteadyTime now() const override { return time; }
   const RouterRef& self() const override { return router; }
@@ -45,8 +46,12 @@
   Milliseconds LongestDeadline(const ServiceId&) const override {
     return Milliseconds(1000);
   }
-  std::optional<schema::View> KnownView(const EndpointId&) const override {
-    return std::nullopt;
+  std::optional<schema::View> KnownView(
+      const EndpointId& endpoint) const override {
+    schema::View view;
+    view.set_endpoint(endpoint);
+    view.mutable_primary()->set_id("primary-of-" + endpoint);
+    return view;
   }
   Fence HighestEpoch(const ServiceId&, PartitionId) const override {
     return {};
@@ -54,7 +59,7 @@
   std::map<PartitionId, EndpointId> Targets(
       const ServiceId&, const std::map<PartitionId, double>&,
       const EndpointId&) const override {
-    return {};
+    return targets;
   }
   void RecordMove(const schema::MoveEvent&) override {}
   void RoutingDirty() override {}
