Tests: check that an early refusal reaches a caller that still sends

The server answers an oversized body before it has read it; the caller must get that answer although its own write fails.

--- a/Tests/Platform/http_limits_test.cc
+++ b/Tests/Platform/http_limits_test.cc
@@ -291,6 +291,19 @@
   BOOST_CHECK_EQUAL(fixture.handled, 2);
 }
 
+// Guards against an early refusal being lost while the caller still sends.
+BOOST_AUTO_TEST_CASE(EarlyRefusalReachesTheCaller) {
+  ServerFixture fixture;
+  HttpClient client(fixture.loop, "127.0.0.1:" + std::to_string(fixture.port),
+                    {});
+  const auto outcome = Await<HttpClient::Outcome>(fixture.loop, [&](auto done) {
+    client.Send({"POST", "/", {}, std::string(1U << 20U, 'x')},
+                Milliseconds(1000), done);
+  });
+  BOOST_REQUIRE(outcome.response.has_value());
+  BOOST_CHECK_EQUAL(outcome.response->status, 413U);
+}
+
 // Guards against a header value that splits the message.
 BOOST_AUTO_TEST_CASE(LineBreaksInHeadersAreNotSent) {
   ServerFixture fixture;
