--- a/Source/operator/command_line.cc
+++ b/Source/operator/command_line.cc
@@ -29,6 +29,9 @@
       help_("h", "help", "Shows this text.", line_),
       version_("", "version", "Shows the version.", line_) {
   line_.setExceptionHandling(false);
+  // TCLAP remembers an optional positional argument for the whole process and
+  // would refuse it in a second command line.
+  TCLAP::OptionalUnlabeledTracker::alreadyOptional() = false;
 }
 
 std::optional<ExitStatus> CommandLine::Parse(
--- a/Source/operator/control_client.cc
+++ b/Source/operator/control_client.cc
@@ -12,15 +12,13 @@
 namespace balsamhall {
 namespace {
 
-// Turns a reply into a message, or into an error whose code is failure if the
-// exchange failed or the router's code is not one of the table.
 template <typename Message>
-Result<Message> Decode(const std::string& address, const ControlReply& reply) {
+Result<Message> Decode(const std::string& address, const std::string& text) {
   Message message;
   google::protobuf::util::JsonParseOptions options;
   options.ignore_unknown_fields = true;  // of a newer router
-  const auto status = google::protobuf::util::JsonStringToMessage(
-      reply.text, &message, options);
+  const auto status =
+      google::protobuf::util::JsonStringToMessage(text, &message, options);
   if (status.ok()) return message;
   return Error{ResultCode::kInternal,
                fmt::format("{}: answer can't be decoded: {}", address,
@@ -66,13 +64,13 @@
   return exchange;
 }
 
-template <typename Message, typename Call>
-Result<Message> Read(const std::string& address, Milliseconds timeout,
-                     Call call) {
+template <typename Call>
+Result<std::string> ReadText(const std::string& address, Milliseconds timeout,
+                             Call call) {
   const auto [reply, sent] = Run(address, timeout, call);
   switch (reply.kind) {
     case ControlReply::Kind::kResult:
-      return Decode<Message>(address, reply);
+      return reply.text;
     case ControlReply::Kind::kRefused:
       return Refusal(address, reply);
     default:
@@ -81,14 +79,25 @@
   }
 }
 
-// Returns nothing for any result: the router took the change.
+template <typename Message, typename Call>
+Result<Message> Read(const std::string& address, Milliseconds timeout,
+                     Call call) {
+  const auto text = ReadText(address, timeout, call);
+  if (!text) return text.error();
+  return Decode<Message>(address, text.value());
+}
+
+// An answer that can't be read may belong to a change that took effect.
 template <typename Call>
-Result<std::string> Change(const std::string& address, Milliseconds timeout,
-                           Call call) {
-  auto [reply, sent] = Run(address, timeout, call);
-  if (reply.kind == ControlReply::Kind::kResult) return std::move(reply.text);
-  // A negative code is one of JSON-RPC itself. An answer that can't be read may
-  // belong to a change that took effect.
+Result<schema::PublishReply> Change(const std::string& address,
+                                    Milliseconds timeout, Call call) {
+  const auto [reply, sent] = Run(address, timeout, call);
+  if (reply.kind == ControlReply::Kind::kResult) {
+    auto decoded = Decode<schema::PublishReply>(address, reply.text);
+    if (decoded) return decoded;
+    return Error{ResultCode::kLogAnswerLost, decoded.error().detail};
+  }
+  // A negative code is one of JSON-RPC itself.
   if (reply.kind == ControlReply::Kind::kRefused && reply.code > 0) {
     return Refusal(address, reply);
   }
@@ -126,12 +135,16 @@
 
 Result<schema::RequestExplanation> HttpControlClient::ExplainRequest(
     const std::string& address, const std::string& request_id) {
-  return Read<schema::RequestExplanation>(
+  const auto spans = ReadText(
       address, options_.read_timeout,
       [&](ControlCalls& calls) { return calls.ExplainRequest(request_id); });
+  if (!spans) return spans.error();
+  // The answer is a list, which has no message of its own.
+  return Decode<schema::RequestExplanation>(
+      address, fmt::format(R"({{"spans":{}}})", spans.value()));
 }
 
-Result<schema::ConfigSnapshot> HttpControlClient::Publish(
+Result<std::uint64_t> HttpControlClient::Publish(
     const std::string& address, const Publication& publication) {
   const auto taken =
       Change(address, options_.change_timeout, [&](ControlCalls& calls) {
@@ -140,11 +153,11 @@
                              publication.author, publication.body);
       });
   if (!taken) return taken.error();
-  ControlReply reply;
-  reply.text = taken.value();
-  auto snapshot = Decode<schema::ConfigSnapshot>(address, reply);
-  if (snapshot) return snapshot;
-  return Error{ResultCode::kLogAnswerLost, snapshot.error().detail};
+  if (taken.value().code() != 0) {
+    return Error{static_cast<ResultCode>(taken.value().code()),
+                 fmt::format("{}: {}", address, taken.value().detail())};
+  }
+  return taken.value().offset();
 }
 
 Result<void> HttpControlClient::DeclareLost(const std::string& address,
--- a/Source/operator/control_client.h
+++ b/Source/operator/control_client.h
@@ -1,8 +1,8 @@
 // Typed access to routers for the operator commands.
 //
-// A router answers with the JSON form of a schema message. It refuses with a
-// JSON-RPC error whose code is the number of a ResultCode and whose message is
-// the detail.
+// A router answers with the JSON form of a schema message, or a list of spans.
+// It refuses with a JSON-RPC error whose code is the number of a ResultCode and
+// whose message is the detail.
 #ifndef BALSAMHALL_OPERATOR_CONTROL_CLIENT_H_
 #define BALSAMHALL_OPERATOR_CONTROL_CLIENT_H_
 
@@ -37,10 +37,9 @@
   virtual Result<schema::RequestExplanation> ExplainRequest(
       const std::string& address, const std::string& request_id) = 0;
 
-  // Sends the publication once. Returns the configuration that the router
-  // reports in force.
-  virtual Result<schema::ConfigSnapshot> Publish(
-      const std::string& address, const Publication& publication) = 0;
+  // Sends the publication once. Returns its version after it was accepted.
+  virtual Result<std::uint64_t> Publish(const std::string& address,
+                                        const Publication& publication) = 0;
   virtual Result<void> DeclareLost(const std::string& address,
                                    const std::string& vm,
                                    const std::string& author) = 0;
@@ -51,7 +50,7 @@
  public:
   struct Options {
     Milliseconds read_timeout{2000};
-    // A publication is answered after the log's answer, which may be slow.
+    // A router waits up to 8 s until it has read a change back from the log.
     Milliseconds change_timeout{10'000};
     std::string operator_key;
   };
@@ -66,8 +65,8 @@
                                             const std::string& key) override;
   Result<schema::RequestExplanation> ExplainRequest(
       const std::string& address, const std::string& request_id) override;
-  Result<schema::ConfigSnapshot> Publish(
-      const std::string& address, const Publication& publication) override;
+  Result<std::uint64_t> Publish(const std::string& address,
+                                const Publication& publication) override;
   Result<void> DeclareLost(const std::string& address, const std::string& vm,
                            const std::string& author) override;
 
--- a/Source/operator/publisher.cc
+++ b/Source/operator/publisher.cc
@@ -10,7 +10,6 @@
 
 #include "config/sheet.h"
 #include "core/config_rules.h"
-#include "core/partitioner.h"
 #include "operator/config_diff.h"
 
 namespace balsamhall {
@@ -99,17 +98,18 @@
 }
 
 void Publisher::Send(const Publication& publication) {
+  if (!LogReachable()) {
+    Fail(ResultCode::kLogUnavailable,
+         "nothing was published: no answering router reaches the log. The "
+         "configuration in force stays in force; publish again when "
+         "balsamhall-status shows the log up");
+    return;
+  }
   for (const auto& address : AnsweringRouters()) {
     auto result = client_.Publish(address, publication);
     if (result) {
       report_.sent = true;
-      if (result.value().version() <= publication.based_on ||
-          result.value().digest() != Digest(publication.body)) {
-        Fail(ResultCode::kLogAnswerLost,
-             address + " has not confirmed the publication");
-        return;
-      }
-      report_.version = result.value().version();
+      report_.version = result.value();
       report_.outcome = {ResultCode::kOk, {}};
       report_.notes.push_back(
           fmt::format("Accepted as version {}.", report_.version));
@@ -227,6 +227,11 @@
          "nothing was declared: no router answers\n" + fleet_.DescribeSilent());
     return std::move(report_);
   }
+  if (!LogReachable()) {
+    Fail(ResultCode::kLogUnavailable,
+         "nothing was declared: no answering router reaches the log");
+    return std::move(report_);
+  }
   for (const auto& address : AnsweringRouters()) {
     const auto result = client_.DeclareLost(address, vm, options_.author);
     if (result) {
@@ -250,6 +255,12 @@
   return std::move(report_);
 }
 
+bool Publisher::LogReachable() const {
+  return std::ranges::any_of(fleet_.routers, [](const RouterAnswer& router) {
+    return router.status && router.status->log_reachable();
+  });
+}
+
 Result<schema::ConfigSnapshot> Publisher::NewestConfiguration() {
   auto addresses = AnsweringRouters();
   // An accepted version spreads to all routers within seconds, so a few of
--- a/Source/operator/publisher.h
+++ b/Source/operator/publisher.h
@@ -56,6 +56,7 @@
                       const schema::ConfigSnapshot& in_force);
   void WaitUntilInForce();
 
+  bool LogReachable() const;
   Result<schema::ConfigSnapshot> NewestConfiguration();
   std::vector<std::string> AnsweringRouters() const;
   void Fail(ResultCode code, std::string detail);
