Tell obsolete transfers from refused ones by their source

A router that repeated a transfer of an earlier owner was told that it was refused, because the target had refused a later transfer of the same partition.

A refusal now remembers the source. A lower epoch from another source is answered as done: the partition has already moved on.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -15,11 +15,16 @@
 constexpr Milliseconds kBackupReplyTimeout{1000};
 constexpr Milliseconds kHandoverInterval{300};
 constexpr Milliseconds kMoveTimeout{3000};
-// Target in the record of a transfer that was refused.
-constexpr const char* kRefusedTarget = "refused";
+// Target in the record of a transfer that was refused, followed by the name of
+// its source. No endpoint's name contains a colon.
+constexpr const char* kRefusedPrefix = "refused:";
 // A new endpoint may take longer to answer first than a serving one.
 constexpr Milliseconds kBindingTimeout{2000};
 
+bool IsRefusal(const schema::ReleasedPartition& record) {
+  return record.target_endpoint().starts_with(kRefusedPrefix);
+}
+
 }  // namespace
 
 EndpointPrimary::EndpointPrimary(ControlContext* context, Start start)
@@ -94,8 +99,8 @@
     history_[record.partition()] = record;
     const Fence next = FromProto(record.epoch()).Next();
     const bool held = holdings_.contains(record.partition());
-    const bool has_target = !record.target_endpoint().empty() &&
-                            record.target_endpoint() != kRefusedTarget;
+    const bool has_target =
+        !record.target_endpoint().empty() && !IsRefusal(record);
     if (held || !has_target ||
         context_->HighestEpoch(service_, record.partition()) >= next) {
       continue;
@@ -714,8 +719,10 @@
     const auto record = history_.find(partition);
     if (check_order && record != history_.end() &&
         FromProto(record->second.epoch()) >= epoch) {
-      const bool was_refused =
-          record->second.target_endpoint() == kRefusedTarget;
+      // A lower epoch from another source is obsolete: the partition has moved
+      // on to the source of the refused transfer.
+      const bool was_refused = record->second.target_endpoint() ==
+                               kRefusedPrefix + transfer.source_endpoint();
       *(was_refused ? refused : done).add_partitions() = entry;
       continue;
     }
@@ -728,7 +735,7 @@
       schema::ReleasedPartition refusal;
       refusal.set_partition(partition);
       *refusal.mutable_epoch() = entry.epoch();
-      refusal.set_target_endpoint(kRefusedTarget);
+      refusal.set_target_endpoint(kRefusedPrefix + transfer.source_endpoint());
       history_[partition] = refusal;
       *refused.add_partitions() = entry;
       continue;
@@ -994,8 +1001,7 @@
     record->set_target_endpoint(outgoing.target);
   }
   for (const auto& [partition, record] : history_) {
-    if (record.target_endpoint().empty() ||
-        record.target_endpoint() == kRefusedTarget ||
+    if (record.target_endpoint().empty() || IsRefusal(record) ||
         transfers_.outgoing().contains(partition)) {
       continue;
     }
