Bind refusals and restarts to the view in force

A refusal is answered only after the endpoint has recorded it, or while the endpoint is evicted and has no other primary; the source ignores a refusal under an older view than it last sent under. A restarted endpoint is granted partitions only with the stand-down of the backup.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -156,7 +156,10 @@
     const auto outgoing = transfers_.outgoing().find(partition);
     const bool unrecorded =
         outgoing != transfers_.outgoing().end() && !outgoing->second.recorded;
-    if (send_history_ || unrecorded) *request.add_history() = record;
+    if (send_history_ || unrecorded ||
+        unrecorded_refusals_.contains(partition)) {
+      *request.add_history() = record;
+    }
   }
   lease_bound_ =
       std::max(lease_bound_, LeaseBound(context_->options(), *holder_time_at_));
@@ -184,6 +187,7 @@
   view_ = *proposed_;
   proposed_.reset();
   consents_.clear();
+  endpoint_restarted_ = false;
   rearm_ = false;
   replace_all_ = false;
   send_history_ = false;
@@ -242,7 +246,12 @@
   const std::uint64_t expected = proposed_ ? proposed_->endpoint_incarnation()
                                            : view_.endpoint_incarnation();
   if (incarnation != expected) {
-    OnRestartedEndpoint(incarnation);
+    // A new process knows no view, so it can't tell whether this router is
+    // still the primary. The backup can: it consents as for an eviction.
+    endpoint_restarted_ = true;
+    context_->RoutingDirty();
+    if (fenced_) RequestConsents();
+    if (!fenced_ || AllConsented()) OnRestartedEndpoint(incarnation);
     return;
   }
   if (response.status() == schema::GRANT_ACCEPTED &&
@@ -372,6 +381,11 @@
     const PartitionId partition = record.partition();
     const Fence epoch = FromProto(record.epoch());
     transfers_.MarkRecorded(partition, record.target_endpoint());
+    if (unrecorded_refusals_.contains(partition) &&
+        epoch >= FromProto(history_[partition].epoch())) {
+      unrecorded_refusals_.erase(partition);
+      changed = true;
+    }
     const auto holding = holdings_.find(partition);
     if (holding == holdings_.end() || epoch < holding->second.epoch) continue;
     // Released as asked for, or released before under a later epoch.
@@ -417,6 +431,7 @@
 
 bool EndpointPrimary::Accepting() const {
   if (demoted_ || phase_ != Phase::kServing || draining_) return false;
+  if (endpoint_restarted_) return false;
   return fenced_ ? !Suspected() : HasAuthority() && !unreachable_;
 }
 
@@ -516,7 +531,8 @@
   }
   if (!Suspected()) {
     const bool asked = !consents_.empty();
-    if (asked && phase_ == Phase::kServing && !proposed_) {
+    if (asked && phase_ == Phase::kServing && !proposed_ &&
+        !endpoint_restarted_) {
       // The promise ends with the term, so the backup can act again.
       schema::View view = view_;
       *view.mutable_term() = ToProto(HighestOwnTerm().Next());
@@ -546,7 +562,8 @@
 
 bool EndpointPrimary::NeedsReset() const {
   if (!demoted_ && !fenced_) return NeedsBackupByLog();
-  if (demoted_ || !Suspected() || phase_ == Phase::kEvicting ||
+  const bool lost = Suspected() || endpoint_restarted_;
+  if (demoted_ || !lost || phase_ == Phase::kEvicting ||
       phase_ == Phase::kEvicted) {
     return false;
   }
@@ -594,6 +611,7 @@
     history_[partition] = record;
   }
   holdings_.clear();
+  unrecorded_refusals_.clear();
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
     transfers_.MarkRecorded(partition, outgoing.target);
   }
@@ -723,6 +741,10 @@
       // on to the source of the refused transfer.
       const bool was_refused = record->second.target_endpoint() ==
                                kRefusedPrefix + transfer.source_endpoint();
+      if (was_refused && unrecorded_refusals_.contains(partition)) {
+        all_answered = false;
+        continue;
+      }
       *(was_refused ? refused : done).add_partitions() = entry;
       continue;
     }
@@ -731,12 +753,25 @@
       continue;
     }
     if (!Accepting() || handover_) {
-      // Remembered, so that a repeat of this transfer is refused as well.
+      if (phase_ != Phase::kServing && phase_ != Phase::kEvicted) {
+        all_answered = false;
+        continue;
+      }
+      // Remembered, so that a repeat of this transfer is refused as well. The
+      // endpoint records it before the answer: a later primary might accept a
+      // repeat while the source already sends the partition elsewhere. An
+      // evicted endpoint has no other primary.
       schema::ReleasedPartition refusal;
       refusal.set_partition(partition);
       *refusal.mutable_epoch() = entry.epoch();
       refusal.set_target_endpoint(kRefusedPrefix + transfer.source_endpoint());
       history_[partition] = refusal;
+      if (phase_ == Phase::kServing) {
+        unrecorded_refusals_.insert(partition);
+        state_changed_ = true;
+        all_answered = false;
+        continue;
+      }
       *refused.add_partitions() = entry;
       continue;
     }
--- a/Source/core/endpoint_primary.h
+++ b/Source/core/endpoint_primary.h
@@ -170,6 +170,8 @@
   bool replace_all_ = false;
   bool send_history_ = false;
   bool draining_ = false;
+  // The endpoint's process that held the partitions is gone.
+  bool endpoint_restarted_ = false;
   bool rearm_ = false;  // a stand-down was requested, but the endpoint answers
   bool handover_ = false;
   bool fenced_ = true;        // the endpoint checks fences
@@ -178,6 +180,8 @@
 
   std::map<PartitionId, Holding> holdings_;
   std::map<PartitionId, schema::ReleasedPartition> history_;
+  // Refused transfers that the endpoint has not recorded yet.
+  std::set<PartitionId> unrecorded_refusals_;
   TransferSender transfers_;
   std::map<EndpointId, std::pair<RouterId, schema::Transfer>> waiting_;
   std::map<PartitionId, double> partition_load_;
--- a/Source/core/transfer_sender.cc
+++ b/Source/core/transfer_sender.cc
@@ -65,9 +65,11 @@
   transfer->set_target_endpoint(target);
   *transfer->mutable_target_term() = view->term();
   for (const PartitionId partition : partitions) {
+    Outgoing& outgoing = outgoing_[partition];
+    outgoing.sent_term = std::max(outgoing.sent_term, FromProto(view->term()));
     auto* entry = transfer->add_partitions();
     entry->set_partition(partition);
-    *entry->mutable_epoch() = ToProto(outgoing_[partition].epoch);
+    *entry->mutable_epoch() = ToProto(outgoing.epoch);
   }
   context_->Emit(SendPeerMessage{view->primary().id(), std::move(message)});
 }
@@ -89,10 +91,15 @@
     if (reply.status() == schema::TRANSFER_DONE) {
       Complete(entry.partition(), reply.target_endpoint());
       result.completed.push_back(entry.partition());
-    } else if (reply.status() == schema::TRANSFER_REFUSED) {
+    } else if (reply.status() == schema::TRANSFER_REFUSED &&
+               FromProto(reply.target_view().term()) ==
+                   found->second.sent_term) {
+      // A refusal under an older view does not bind a later primary of the
+      // target, to which the transfer was sent as well.
       // The target refuses this epoch for good, so the next try has another.
       found->second.epoch = found->second.epoch.Next();
       found->second.target.clear();
+      found->second.sent_term = Fence{};
       result.refused.push_back(entry.partition());
     }
   }
--- a/Source/core/transfer_sender.h
+++ b/Source/core/transfer_sender.h
@@ -22,6 +22,8 @@
     // The endpoint knows the target, so that a new primary sends to the same.
     bool recorded = true;
     std::string cause;
+    // Highest term of the target's view that it was sent under.
+    Fence sent_term;
   };
 
   TransferSender(ControlContext* context, ServiceId service, EndpointId source);
--- a/Tests/Core/endpoint_primary_test.cc
+++ b/Tests/Core/endpoint_primary_test.cc
@@ -44,6 +44,15 @@
   return targets;
 }
 
+schema::TransferReply Refusal(const Fence& term) {
+  schema::TransferReply refusal;
+  refusal.set_target_endpoint("e2");
+  refusal.set_status(schema::TRANSFER_REFUSED);
+  *refusal.add_partitions()->mutable_epoch() = ToProto(Fence{11, 2});
+  *refusal.mutable_target_view()->mutable_term() = ToProto(term);
+  return refusal;
+}
+
 // Guards against a partition that stays without an owner: its transfer was
 // refused while no other endpoint could take it.
 BOOST_AUTO_TEST_CASE(RefusedTransferFindsALaterTarget) {
@@ -58,11 +67,7 @@
   BOOST_REQUIRE(Exchange(&context, &holder, &primary) ==
                 std::vector<EndpointId>{"e2"});
 
-  schema::TransferReply refusal;
-  refusal.set_target_endpoint("e2");
-  refusal.set_status(schema::TRANSFER_REFUSED);
-  *refusal.add_partitions()->mutable_epoch() = ToProto(Fence{11, 2});
-  primary.OnTransferReply(refusal);
+  primary.OnTransferReply(Refusal(context.known_term));
 
   context.targets = {{0, "e3"}};
   std::vector<EndpointId> targets;
@@ -74,5 +79,67 @@
   BOOST_CHECK(targets == std::vector<EndpointId>{"e3"});
 }
 
+// Guards against two owners: the old primary of the target refuses a transfer
+// that its successor has accepted.
+BOOST_AUTO_TEST_CASE(RefusalOfAnOlderViewIsIgnored) {
+  FakeControlContext context;
+  LeaseHolder holder("e1", kIncarnation, true);
+  context.NextGrantSequence();
+  const auto response = holder.OnGrant(Failover(holder), context.time, 0);
+  EndpointPrimary primary = EndpointPrimary::AfterFailover(
+      &context, "lookup", response, context.time);
+  primary.OnTick();
+  const Fence old_term = context.known_term;
+  context.known_term = old_term.Next();
+  context.time += Milliseconds(200);
+  primary.OnTick();
+  context.actions.clear();
+  context.targets = {{0, "e3"}};
+  primary.OnTransferReply(Refusal(old_term));
+  for (int i = 0; i < 5; ++i) {
+    context.time += Milliseconds(200);
+    primary.OnTick();
+    for (const EndpointId& target : Exchange(&context, &holder, &primary)) {
+      BOOST_CHECK_EQUAL(target, "e2");
+    }
+  }
+}
+
+// Guards against a primary that was replaced without its knowledge: it must
+// not grant its partitions to a new process of the endpoint, which knows no
+// view, before the backup consents.
+BOOST_AUTO_TEST_CASE(RestartedEndpointNeedsTheConsentOfTheBackup) {
+  FakeControlContext context;
+  LeaseHolder holder("e1", kIncarnation, true);
+  context.NextGrantSequence();
+  schema::GrantRequest request = Failover(holder);
+  const RouterRef backup{"r2", 2};
+  *request.mutable_view()->mutable_backup() = ToProto(backup);
+  const auto response = holder.OnGrant(request, context.time, 0);
+  EndpointPrimary primary = EndpointPrimary::AfterFailover(
+      &context, "lookup", response, context.time);
+  LeaseHolder restarted("e1", kIncarnation + 1, true);
+  for (int i = 0; i < 5; ++i) {
+    context.time += Milliseconds(200);
+    primary.OnTick();
+    Exchange(&context, &restarted, &primary);
+  }
+  BOOST_CHECK(FromProto(restarted.view().term()).IsZero());
+  BOOST_CHECK(!primary.Accepting());
+
+  schema::StandDownReply consent;
+  *consent.mutable_term() = request.view().term();
+  consent.set_promised(true);
+  primary.OnStandDownReply(backup, consent);
+  for (int i = 0; i < 5; ++i) {
+    context.time += Milliseconds(200);
+    primary.OnTick();
+    Exchange(&context, &restarted, &primary);
+  }
+  BOOST_CHECK(FromProto(restarted.view().term()) >
+              FromProto(request.view().term()));
+  BOOST_CHECK(primary.Accepting());
+}
+
 }  // namespace
 }  // namespace balsamhall
--- a/Tests/Core/fake_control_context.h
+++ b/Tests/Core/fake_control_context.h
@@ -20,6 +20,7 @@
   std::map<EndpointId, std::uint64_t> chains;
   bool applied_by_all = false;
   std::map<PartitionId, EndpointId> targets;
+  Fence known_term{20, 1};  // of every endpoint's view
 
   SteadyTime now() const override { return time; }
   const RouterRef& self() const override { return router; }
@@ -50,6 +51,7 @@
       const EndpointId& endpoint) const override {
     schema::View view;
     view.set_endpoint(endpoint);
+    *view.mutable_term() = ToProto(known_term);
     view.mutable_primary()->set_id("primary-of-" + endpoint);
     return view;
   }
