Tests: count refusals at full slots, and test the misleading stand-ins

A router that sends more work than an endpoint has slots shows up only as refusals, because the stand-in never runs work above its slots; the stand-ins now count them, and balsamhall-load prints the sum. New cases check that the fence switch and the misleading load report take effect.

--- a/Source/load/execution_check.cc
+++ b/Source/load/execution_check.cc
@@ -30,6 +30,7 @@
   if (!summary) return false;
   all.executions += summary->value("executions", std::uint64_t{0});
   all.above_slots += summary->value("above_slots", std::uint64_t{0});
+  all.refused_full += summary->value("refused_full", std::uint64_t{0});
   all.unrecorded += summary->value("unrecorded", std::uint64_t{0});
   std::uint64_t next = 0;
   for (int i = 0; i < kMaxPages; ++i) {
--- a/Source/load/execution_check.h
+++ b/Source/load/execution_check.h
@@ -16,8 +16,9 @@
 struct BackendExecutions {
   std::unordered_map<std::string, std::uint32_t> runs;
   std::uint64_t executions = 0;
-  std::uint64_t above_slots = 0;  // started with all slots in use
-  std::uint64_t unrecorded = 0;   // beyond the stand-ins' record
+  std::uint64_t above_slots = 0;   // started with all slots in use
+  std::uint64_t refused_full = 0;  // refused because all slots were in use
+  std::uint64_t unrecorded = 0;    // beyond the stand-ins' record
   std::vector<std::string> unreachable;
 };
 
--- a/Source/load/load_report.cc
+++ b/Source/load/load_report.cc
@@ -60,9 +60,10 @@
                        const BackendExecutions& executions) {
   std::string text = fmt::format(
       "executions {}  doubled {}  lost {}  not-run-ran {}  unverified {}  "
-      "idempotent-again {}  above-slots {}\n",
+      "idempotent-again {}  above-slots {}  refused-full {}\n",
       executions.executions, faults.doubled, faults.lost, faults.not_run_ran,
-      faults.unverified, faults.idempotent_again, executions.above_slots);
+      faults.unverified, faults.idempotent_again, executions.above_slots,
+      executions.refused_full);
   for (const std::string& backend : executions.unreachable) {
     text += "backend not reachable: " + backend + "\n";
   }
@@ -192,6 +193,7 @@
                             {"unverified", faults_->unverified},
                             {"idempotent_again", faults_->idempotent_again},
                             {"above_slots", executions_.above_slots},
+                            {"refused_full", executions_.refused_full},
                             {"unreachable", executions_.unreachable},
                             {"examples", faults_->examples}};
   }
--- a/Tests/Platform/backend_contract_test.cc
+++ b/Tests/Platform/backend_contract_test.cc
@@ -176,6 +176,40 @@
                     fence.code == ResultCode::kOk ? 1 : 0);
 }
 
+// Guards against a stand-in whose fence switch has no effect: a run with
+// servers that check no fences would then prove nothing.
+BOOST_DATA_TEST_CASE(ServerWithoutFenceCheckRunsAnything,
+                     data::make({false, true}), by_fault) {
+  auto options = BackendFixture::Options();
+  options.checks_fences = by_fault;
+  BackendFixture fixture(options);
+  if (by_fault) fixture.server.SetFault(R"({"no_fence_check":true})");
+  WorkRequest request = BackendFixture::Request("id");
+  request.fenced = by_fault;
+  BOOST_CHECK(fixture.Work(request).code == ResultCode::kOk);
+}
+
+// Guards against a router that trusts the reported load: the stand-in has to
+// be able to mislead it.
+BOOST_DATA_TEST_CASE(HealthReportCanMislead, data::make({false, true}), lying) {
+  auto options = BackendFixture::Options();
+  options.slots = 1;
+  options.service_time = Milliseconds(200);
+  options.cold_time = Milliseconds(60'000);
+  BackendFixture fixture(options);
+  fixture.GrantPartition();
+  if (lying) fixture.server.SetFault(R"({"lying_load":true})");
+  fixture.service.Work(BackendFixture::Request("id"), [](const auto&) {});
+  RunFor(fixture.loop, Milliseconds(50));
+  const auto health = Await<Result<schema::HealthReport>>(
+      fixture.loop,
+      [&](auto done) { fixture.service.Health(Milliseconds(200), done); });
+  BOOST_CHECK_EQUAL(health.value().load(), lying ? 0 : 1);
+  BOOST_CHECK_EQUAL(health.value().in_flight(), 1U);
+  BOOST_CHECK(health.value().cold());
+  BOOST_CHECK_EQUAL(health.value().incarnation(), 77U);
+}
+
 // Guards against work under a lapsed lease, as after a pause of the router.
 BOOST_AUTO_TEST_CASE(LapsedLeaseIsRefused) {
   BackendFixture fixture;
@@ -254,6 +288,7 @@
   const json executions = fixture.Executions();
   BOOST_CHECK_EQUAL(executions["max_concurrent"], 2);
   BOOST_CHECK_EQUAL(executions["above_slots"], 0);
+  BOOST_CHECK_EQUAL(executions["refused_full"], 4);
   BOOST_CHECK_LE(executions["max_connections"].get<int>(), 10);
 }
 
--- a/Tests/StandIn/backend_stand_in.cc
+++ b/Tests/StandIn/backend_stand_in.cc
@@ -212,7 +212,9 @@
   work->respond = respond;
   work->id = FindHeader(request.headers, "Balsamhall-Request-Id");
   if (Fault("drain")) return Refuse(*work, 503, ResultCode::kNotRunDraining);
-  if (Fault("shed") || record_.running() >= options_.slots) {
+  const bool full = record_.running() >= options_.slots;
+  if (full) record_.RefuseFull();
+  if (full || Fault("shed")) {
     return Refuse(*work, 503, ResultCode::kNotRunShed);
   }
   if (const ResultCode code = CheckFence(*work); code != ResultCode::kOk) {
--- a/Tests/StandIn/execution_record.cc
+++ b/Tests/StandIn/execution_record.cc
@@ -59,6 +59,7 @@
           {"max_concurrent", max_concurrent_},
           {"slots", slots_},
           {"above_slots", above_slots_},
+          {"refused_full", refused_full_},
           {"unrecorded", unrecorded_},
           {"by_kind", by_kind}};
 }
--- a/Tests/StandIn/execution_record.h
+++ b/Tests/StandIn/execution_record.h
@@ -20,10 +20,12 @@
   std::size_t Start(const std::string& id, const std::string& kind,
                     const std::string& key, WallTime now);
   void Finish(std::size_t number, bool whole, WallTime now);
+  // Counts work that was refused because all slots were in use.
+  void RefuseFull() { ++refused_full_; }
 
   std::uint32_t running() const { return running_; }
   // {executions, distinct, doubled:[{id, kind, runs}], max_concurrent,
-  // above_slots, unrecorded, by_kind:{kind: n}}
+  // above_slots, refused_full, unrecorded, by_kind:{kind: n}}
   nlohmann::json Summary() const;
   // {executions:[{id, kind, key, start_us, end_us, whole, above_slots}]}
   nlohmann::json Of(const std::string& id) const;
@@ -46,6 +48,7 @@
   std::uint32_t max_concurrent_ = 0;
   std::uint64_t started_ = 0;
   std::uint64_t above_slots_ = 0;
+  std::uint64_t refused_full_ = 0;
   std::uint64_t unrecorded_ = 0;
   std::vector<Execution> executions_;
   std::unordered_map<std::string, std::vector<std::uint32_t>> by_id_;
