--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -64,6 +64,11 @@
     }
     if (send->to.empty()) return;
   }
+  if (auto* grant = std::get_if<SendGrant>(&action);
+      grant != nullptr && !ChecksFences(grant->endpoint)) {
+    SendWitnessGrant(std::move(*grant));
+    return;
+  }
   actions_.push_back(std::move(action));
 }
 
@@ -86,6 +91,11 @@
   next->config_digest = config_.current().digest();
   next->policy = config_.config().policy();
   table_.Fill(config_.config(), next.get());
+  for (const auto& [endpoint, primary] : primaries_) {
+    const auto route = next->endpoints.find(endpoint);
+    if (route == next->endpoints.end()) continue;
+    route->second.authority_until = primary->authority_until();
+  }
   for (const auto& [id, router] : fleet_.routers()) {
     if (router.left) continue;
     const RouterRef ref{id, router.incarnation};
@@ -104,6 +114,7 @@
   TickJoin();
   TickBootstrap();
   TickResets();
+  TickUnfenced();
   TickRoles();
   TickDrain();
   TickPlacement();
@@ -138,6 +149,7 @@
 
 void OwnershipController::Impl::On(const HealthReportReceived& event) {
   health_[event.report.endpoint()] = event.report;
+  health_at_[event.report.endpoint()] = now_;
   if (!event.report.draining()) drain_refused_.erase(event.report.endpoint());
 }
 
@@ -221,6 +233,32 @@
   return found == endpoints_.end() ? nullptr : found->second.second;
 }
 
+std::vector<EndpointId> OwnershipController::Impl::EndpointsOf(
+    const ServiceId& service) const {
+  std::vector<EndpointId> endpoints;
+  const auto found = services_.find(service);
+  if (found == services_.end()) return endpoints;
+  for (const auto& endpoint : found->second.config->endpoints()) {
+    endpoints.push_back(endpoint.name());
+  }
+  return endpoints;
+}
+
+std::uint64_t OwnershipController::Impl::ChainOffset(
+    const EndpointId& endpoint) const {
+  const schema::View* view = fleet_.BaseView(endpoint);
+  return view == nullptr ? 0 : view->term().offset();
+}
+
+bool OwnershipController::Impl::AppliedByAll(std::uint64_t offset) const {
+  const std::vector<RouterRef> routers = OtherRouters();
+  return std::ranges::all_of(routers, [&](const RouterRef& router) {
+    const Membership::Heard* heard = membership_.Find(router.id);
+    return heard != nullptr && SameRef(heard->heartbeat.sender(), router) &&
+           heard->heartbeat.log_offset() > offset;
+  });
+}
+
 Milliseconds OwnershipController::Impl::LongestDeadline(
     const ServiceId& service) const {
   const auto found = services_.find(service);
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -69,6 +69,15 @@
       return OnStateRequest(from);
     case schema::PeerMessage::kStateReply:
       return OnStateReply(message.state_reply());
+    case schema::PeerMessage::kWitnessRequest:
+      return OnWitnessRequest(from, message.witness_request());
+    case schema::PeerMessage::kWitnessReply: {
+      EndpointPrimary* primary =
+          FindPrimary(message.witness_reply().endpoint());
+      if (primary == nullptr) return;
+      primary->OnGrantResponse(message.witness_reply().response());
+      return;
+    }
     default:
       // Forwarded requests do not reach the control thread.
       return;
@@ -86,7 +95,8 @@
   heartbeat->set_sequence(++heartbeat_sequence_);
   heartbeat->set_config_version(config_.current().version());
   heartbeat->set_config_digest(config_.current().digest());
-  heartbeat->set_log_offset(next_offset_);
+  // Records are buffered, not applied, until the end of the log is reached.
+  heartbeat->set_log_offset(started_ ? next_offset_ : 0);
   heartbeat->set_routing_digest(table_.DigestOf(self_.id));
   heartbeat->set_ready(config_.current().version() > 0);
   heartbeat->set_leaving(shutdown_since_.has_value());
@@ -172,6 +182,7 @@
     if (!replaced) return;
     RetirePrimary(endpoint, false);
   }
+  if (!ChecksFences(endpoint)) return;
   if (SameRef(view.backup(), self_)) StartBackup(view);
   const auto backup = backups_.find(endpoint);
   if (backup != backups_.end()) backup->second.OnView(view);
@@ -191,7 +202,11 @@
   schema::PeerMessage message = MakePeerMessage(self_);
   schema::StandDownReply* reply = message.mutable_stand_down_reply();
   reply->set_endpoint(endpoint);
-  if (FindPrimary(endpoint) == nullptr) {
+  // A failover from this term took place, so the sender is no longer primary.
+  const auto failed_over = failed_over_.find(endpoint);
+  const bool superseded =
+      failed_over != failed_over_.end() && term <= failed_over->second;
+  if (FindPrimary(endpoint) == nullptr && !superseded) {
     const auto backup = backups_.find(endpoint);
     std::optional<Fence> promised = term;
     if (backup != backups_.end()) {
@@ -224,6 +239,10 @@
 void OwnershipController::Impl::OnHandover(const schema::Handover& handover) {
   const EndpointId& endpoint = handover.view().endpoint();
   if (FindPrimary(endpoint) != nullptr || shutdown_since_) return;
+  if (!ChecksFences(endpoint)) {
+    if (witnesses_.contains(endpoint)) handover_asked_.insert(endpoint);
+    return;
+  }
   StartBackup(handover.view());
   const auto backup = backups_.find(endpoint);
   if (backup != backups_.end()) backup->second.OnHandover(handover);
--- a/Source/core/move_planner.cc
+++ b/Source/core/move_planner.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 #include <numeric>
 #include <optional>
+#include <tuple>
 
 namespace balsamhall {
 namespace {
@@ -64,20 +65,41 @@
   return above == loads.begin() ? loads.end() : std::prev(above);
 }
 
+struct Shedding {
+  double self = 0;
+  double all = 0;
+};
+
+Shedding SheddingOf(const EndpointLoad& self,
+                    const std::vector<EndpointLoad>& accepting,
+                    const Bounds& bounds) {
+  const bool nearly_empty =
+      std::ranges::any_of(accepting, [&](const auto& endpoint) {
+        return endpoint.load < kNearlyEmpty * bounds.mean;
+      });
+  Shedding shedding{Excess(self, bounds, nearly_empty), 0};
+  for (const auto& endpoint : accepting) {
+    shedding.all += Excess(endpoint, bounds, nearly_empty);
+  }
+  return shedding;
+}
+
+// Least gain of a move. It spares partitions with little load, but an endpoint
+// with nothing but small partitions has to shed some of them.
+double LeastGain(const MovePlanInput& input, const EndpointLoad& self,
+                 const Bounds& bounds) {
+  const auto own = static_cast<double>(input.partition_load.size());
+  return std::min(bounds.least_gain, self.load / std::max(1.0, own) / 2);
+}
+
 std::vector<PlannedMove> ByLoad(const MovePlanInput& input,
                                 const EndpointLoad& self,
                                 const std::vector<EndpointLoad>& accepting,
                                 const Bounds& bounds) {
-  const bool nearly_empty = std::ranges::any_of(accepting, [&](const auto& e) {
-    return e.load < kNearlyEmpty * bounds.mean;
-  });
-  const double excess_of_all = std::accumulate(
-      accepting.begin(), accepting.end(), 0.0, [&](double sum, const auto& e) {
-        return sum + Excess(e, bounds, nearly_empty);
-      });
-  double excess = Excess(self, bounds, nearly_empty);
+  const Shedding shedding = SheddingOf(self, accepting, bounds);
+  double excess = shedding.self;
   if (excess <= 0) return {};
-  const double part = std::min(1.0, excess / std::max(excess, excess_of_all));
+  const double part = excess / shedding.all;
 
   std::vector<Target> targets;
   for (const auto& endpoint : accepting) {
@@ -91,6 +113,7 @@
   }
   std::ranges::sort(loads);
 
+  const double least_gain = LeastGain(input, self, bounds);
   std::vector<PlannedMove> moves;
   double load = self.load;
   while (moves.size() < input.budget && excess > 0 && !targets.empty()) {
@@ -98,8 +121,7 @@
     const auto fit = BestFit(loads, excess, target->room);
     if (fit == loads.end()) break;
     const double moved = fit->first;
-    if (load - std::max(load - moved, target->load + moved) <
-        bounds.least_gain) {
+    if (load - std::max(load - moved, target->load + moved) < least_gain) {
       break;
     }
     moves.push_back({fit->second, target->id});
@@ -112,27 +134,38 @@
   return moves;
 }
 
-// The one move that lowers the maximum most, for loads that fit nowhere.
+// One move, for partitions too heavy for the divided room. Self gives in its
+// turn among those that shed load, heaviest first, so that they do not all
+// choose the same target.
 std::vector<PlannedMove> OneMove(const MovePlanInput& input,
                                  const EndpointLoad& self,
-                                 const std::vector<EndpointLoad>& accepting,
+                                 std::vector<EndpointLoad> accepting,
                                  const Bounds& bounds) {
-  const auto target =
-      std::ranges::min_element(accepting, {}, &EndpointLoad::load);
-  if (self.load <= bounds.trigger || target->endpoint == self.endpoint) {
-    return {};
-  }
+  const Shedding shedding = SheddingOf(self, accepting, bounds);
+  if (shedding.self <= 0) return {};
+  std::ranges::sort(accepting, [](const auto& a, const auto& b) {
+    return std::tie(a.load, a.endpoint) < std::tie(b.load, b.endpoint);
+  });
+  const auto turn = static_cast<std::size_t>(
+      accepting.end() -
+      std::ranges::find(accepting, self.endpoint, &EndpointLoad::endpoint) - 1);
+  const bool overloaded = self.load > bounds.trigger;
+  const EndpointLoad& target =
+      accepting[overloaded ? turn % accepting.size() : 0];
+  const double room =
+      overloaded ? self.load - target.load
+                 : (bounds.stop - target.load) / static_cast<double>(turn + 1);
   std::optional<PlannedMove> best;
-  double best_gain = bounds.least_gain;
+  double best_gain = LeastGain(input, self, bounds);
   for (const auto& [partition, load] : input.partition_load) {
     const double gain =
-        self.load - std::max(self.load - load, target->load + load);
-    if (gain > best_gain) {
+        self.load - std::max(self.load - load, target.load + load);
+    if (load <= room && gain > best_gain) {
       best_gain = gain;
-      best = PlannedMove{partition, target->endpoint};
+      best = PlannedMove{partition, target.endpoint};
     }
   }
-  if (!best) return {};
+  if (!best || target.endpoint == self.endpoint) return {};
   return {*best};
 }
 
@@ -158,22 +191,31 @@
   return moves;
 }
 
+double Sum(const std::vector<EndpointLoad>& fleet) {
+  return std::accumulate(
+      fleet.begin(), fleet.end(), 0.0,
+      [](double sum, const auto& endpoint) { return sum + endpoint.load; });
+}
+
+std::vector<EndpointLoad> Accepting(const std::vector<EndpointLoad>& fleet) {
+  std::vector<EndpointLoad> accepting;
+  std::ranges::copy_if(fleet, std::back_inserter(accepting),
+                       &EndpointLoad::accepting);
+  return accepting;
+}
+
 }  // namespace
 
 std::vector<PlannedMove> PlanMoves(const MovePlanInput& input) {
   const auto self =
       std::ranges::find(input.fleet, input.self, &EndpointLoad::endpoint);
-  std::vector<EndpointLoad> accepting;
-  std::ranges::copy_if(input.fleet, std::back_inserter(accepting),
-                       &EndpointLoad::accepting);
+  const auto accepting = Accepting(input.fleet);
   // An endpoint that drains is emptied by its own rule, not for balance.
   if (self == input.fleet.end() || !self->accepting || accepting.size() < 2 ||
       input.budget == 0) {
     return {};
   }
-  const double sum = std::accumulate(
-      accepting.begin(), accepting.end(), 0.0,
-      [](double total, const auto& endpoint) { return total + endpoint.load; });
+  const double sum = Sum(accepting);
   if (sum <= 0) return ByCount(input, *self, accepting);
   const Bounds bounds =
       BoundsOf(sum / static_cast<double>(accepting.size()), input.policy);
@@ -182,4 +224,17 @@
   return moves;
 }
 
+double BudgetShare(const MovePlanInput& input) {
+  const auto self =
+      std::ranges::find(input.fleet, input.self, &EndpointLoad::endpoint);
+  const auto accepting = Accepting(input.fleet);
+  if (self == input.fleet.end() || !self->accepting) return 0;
+  const auto endpoints = static_cast<double>(accepting.size());
+  const double sum = Sum(accepting);
+  if (sum <= 0) return 1 / endpoints;
+  const Shedding shedding =
+      SheddingOf(*self, accepting, BoundsOf(sum / endpoints, input.policy));
+  return shedding.all > 0 ? shedding.self / shedding.all : 0;
+}
+
 }  // namespace balsamhall
