--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -56,6 +56,9 @@
   std::vector<RouterRef> OtherRouters() const override;
   const schema::EndpointConfig* FindEndpoint(
       const EndpointId& endpoint) const override;
+  std::vector<EndpointId> EndpointsOf(const ServiceId& service) const override;
+  std::uint64_t ChainOffset(const EndpointId& endpoint) const override;
+  bool AppliedByAll(std::uint64_t offset) const override;
   Milliseconds LongestDeadline(const ServiceId& service) const override;
   std::optional<schema::View> KnownView(
       const EndpointId& endpoint) const override;
@@ -87,13 +90,6 @@
     SteadyTime at;
     schema::GrantResponse state;
   };
-  // What this router knew about an endpoint when it stopped being primary. A
-  // census that asked the next primary too early finds it here.
-  struct PastClaims {
-    ServiceId service;
-    schema::EndpointClaims claims;
-    SteadyTime until;
-  };
   struct BufferedRecord {
     std::uint64_t offset = 0;
     schema::LogRecord record;
@@ -242,7 +238,6 @@
   std::uint64_t locate_query_ = 0;
   std::map<EndpointId, std::unique_ptr<EndpointPrimary>> primaries_;
   std::vector<std::unique_ptr<EndpointPrimary>> retired_;
-  std::vector<PastClaims> past_claims_;
   std::map<EndpointId, EndpointBackup> backups_;
   std::map<EndpointId, EndpointReset> resets_;
   std::map<EndpointId, PendingReset> pending_resets_;
