--- a/Source/operator/config_diff.cc
+++ b/Source/operator/config_diff.cc
@@ -45,7 +45,9 @@
   }
 }
 
+// Names a field as the sheet does.
 std::string Words(std::string name) {
+  if (name == "keyed") return "divided by key";
   std::ranges::replace(name, '_', ' ');
   return name;
 }
@@ -61,7 +63,7 @@
     const std::string before = ValueText(from, field);
     const std::string after = ValueText(to, field);
     if (before == after) continue;
-    lines.push_back(fmt::format("{}: {} changes from {} to {}.", subject,
+    lines.push_back(fmt::format("{} changes {} from {} to {}.", subject,
                                 Words(field.name()), before, after));
   }
 }
