Count running work of an endpoint apart from its holdings

Cause: a partition dropped by a reset and granted again inherited no count, so the end of old work lowered the count of the new holding and a release could be confirmed while work ran.

--- a/Source/core/lease_holder.cc
+++ b/Source/core/lease_holder.cc
@@ -78,8 +78,7 @@
   }
   const auto held = held_.find(add.partition());
   if (held != held_.end() && held->second.epoch >= epoch) return false;
-  const std::uint32_t running = held == held_.end() ? 0 : held->second.running;
-  held_[add.partition()] = Holding{epoch, running, false, {}};
+  held_[add.partition()] = Holding{epoch, false, {}};
   return true;
 }
 
@@ -107,7 +106,7 @@
 void LeaseHolder::FinishRelease(PartitionId partition) {
   const auto held = held_.find(partition);
   if (held == held_.end() || !held->second.releasing ||
-      held->second.running > 0) {
+      running_.contains(partition)) {
     return;
   }
   MarkReleased(partition, held->second.epoch, held->second.target);
@@ -191,16 +190,15 @@
     return ResultCode::kNotRunNoOwner;
   }
   if (held->second.epoch != epoch) return ResultCode::kNotRunStaleFence;
-  ++held->second.running;
+  ++running_[*partition];
   return ResultCode::kOk;
 }
 
 void LeaseHolder::OnWorkFinished(std::optional<PartitionId> partition) {
   if (!check_fences_ || !partition) return;
-  const auto held = held_.find(*partition);
-  // A partition dropped by a reset has no running count any more.
-  if (held == held_.end() || held->second.running == 0) return;
-  --held->second.running;
+  const auto running = running_.find(*partition);
+  if (running == running_.end()) return;
+  if (--running->second == 0) running_.erase(running);
   FinishRelease(*partition);
 }
 
--- a/Source/core/lease_holder.h
+++ b/Source/core/lease_holder.h
@@ -44,7 +44,6 @@
  private:
   struct Holding {
     Fence epoch;
-    std::uint32_t running = 0;
     bool releasing = false;
     EndpointId target;
   };
@@ -70,6 +69,8 @@
   SteadyTime lease_end_{};
   std::uint64_t last_sequence_ = 0;
   std::map<PartitionId, Holding> held_;
+  // Running work by partition; outlives a holding that a reset dropped.
+  std::map<PartitionId, std::uint32_t> running_;
   std::map<PartitionId, schema::ReleasedPartition> released_;
 };
 
