Show since when a state is degraded

Cause: the status of a router named degraded states without their start, so an operator could not tell a new state from an old one.

Change: DegradedSince keeps the time at which a state was first observed without a pause; the control loop observes once a second and for each status.

--- a/Source/router/control_loop.cc
+++ b/Source/router/control_loop.cc
@@ -16,6 +16,7 @@
 #include "platform/http_log_service.h"
 #include "platform/http_vm_list.h"
 #include "router/control_server.h"
+#include "router/degraded_since.h"
 #include "router/dispatch_table.h"
 #include "router/fault_log.h"
 #include "router/log_follower.h"
@@ -146,6 +147,7 @@
         controller_.status(std::chrono::steady_clock::now());
     status.set_ready(Ready());
     status.set_leaving(leaving_);
+    degraded_since_.Observe(status, std::chrono::system_clock::now());
     for (const schema::RankStatus& rank : MergedMetrics()->ranks()) {
       *status.add_ranks() = rank;
     }
@@ -227,6 +229,8 @@
       next_vm_list_ = now + kVmListInterval;
       FetchVmList();
       traces_.Flush();
+      auto status = controller_.status(now);
+      degraded_since_.Observe(status, std::chrono::system_clock::now());
     }
     submissions_.ExpireOld(now);
     if (leaving_) CheckShutdown(now);
@@ -378,6 +382,7 @@
   HttpVmList vm_list_;
   LogFollower follower_;
   SubmissionTracker submissions_;
+  DegradedSince degraded_since_;
   ControlServer server_;
   std::map<EndpointId, std::pair<std::string, std::unique_ptr<BackendService>>>
       backends_;
--- a/Tests/Operator/publication_test.cc
+++ b/Tests/Operator/publication_test.cc
@@ -141,6 +141,10 @@
       Milliseconds(10'000)));
   BOOST_TEST(fleet.Publish(fleet.WriteSheet(3), base) ==
              static_cast<int>(ExitStatus::kLogDown));
+  const auto degraded = fleet.Status(0).value();
+  BOOST_TEST(std::ranges::any_of(degraded.degraded(), [](const auto& item) {
+    return item.what() == "log unreachable" && item.since_ms() > 0;
+  }));
   fleet.SetLogFault(R"({"outage":false})");
   BOOST_TEST(Publications(fleet).size() == 1U);
   BOOST_TEST(fleet.Version() == base);
