Let any router reset a view that only its lost primary knew

A reset is started only while every router that is not proved gone was heard lately: the unknown primary may be one of them, and the census would have to wait for its answer anyway.

--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -135,6 +135,10 @@
 
 void OwnershipController::Impl::On(const GrantResponseReceived& event) {
   if (stopped_) return;
+  // A view that only its lost primary and the endpoint knew is otherwise
+  // missing when a reset is decided on.
+  const schema::View& view = event.response.view();
+  if (!FromProto(view.term()).IsZero()) table_.NoteView(view);
   if (EndpointPrimary* primary = FindPrimary(event.endpoint)) {
     primary->OnGrantResponse(event.response);
     if (primary->demoted()) RetirePrimary(event.endpoint, false);
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -127,6 +127,9 @@
   void Bootstrap(const schema::ServiceConfig& service);
   void AppendReset(const schema::EndpointConfig& endpoint,
                    const std::string& proof);
+  // Time after which this router appends a reset that another was chosen for.
+  Milliseconds ResetDelayOf(const EndpointId& endpoint) const;
+  bool HeardAllRouters() const;
   bool LogUsable() const;
   bool AppendIsDue(SteadyTime copied_at, const std::string& topic) const;
 
--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -18,6 +18,9 @@
 constexpr Milliseconds kBootstrapInterval{200};
 // The backup fails over first if it can.
 constexpr Milliseconds kResetDelay{300};
+constexpr Milliseconds kOtherResetDelay{3000};
+// A router that was silent for longer would not answer the census.
+constexpr Milliseconds kCensusSilence{1000};
 constexpr int kSnapshotShareOfRetention = 3;
 
 }  // namespace
@@ -403,6 +406,7 @@
     break;  // the iterator is invalid; the next tick goes on
   }
   if (!LogUsable() || self_.incarnation == 0 || shutdown_since_) return;
+  const bool all_heard = HeardAllRouters();
   for (const auto& [endpoint, config] : endpoints_) {
     const auto view = table_.KnownView(endpoint);
     if (!view || fleet_.BaseView(endpoint) == nullptr ||
@@ -422,6 +426,12 @@
       continue;
     }
     if (!lost) continue;
+    // The primary may be a router that is out of reach. A reset would have to
+    // wait for its answer as well.
+    if (primary == nullptr && !all_heard) {
+      pending_resets_.erase(endpoint);
+      continue;
+    }
     const auto [pending, inserted] =
         pending_resets_.try_emplace(endpoint, PendingReset{now_, {}});
     const bool repeat =
@@ -430,13 +440,34 @@
     const Parties parties = ChooseParties(*config.second, Candidates());
     const bool chosen =
         primary != nullptr || (parties.primary && *parties.primary == self_);
-    if (!chosen) continue;
+    // Others follow later: the chosen router may not know the latest view.
+    if (!chosen && now_ < pending->second.since + ResetDelayOf(endpoint)) {
+      continue;
+    }
     pending->second.sent = now_;
     AppendReset(*config.second,
                 primary != nullptr ? "backup gone" : "primary gone");
   }
 }
 
+Milliseconds OwnershipController::Impl::ResetDelayOf(
+    const EndpointId& endpoint) const {
+  std::vector<std::string> routers;
+  for (const RouterPlace& place : Candidates()) {
+    routers.push_back(place.router.id);
+  }
+  const auto order = RendezvousOrder(endpoint, routers);
+  const auto rank = std::ranges::find(order, self_.id) - order.begin();
+  return kOtherResetDelay + rank * kBootstrapStep;
+}
+
+bool OwnershipController::Impl::HeardAllRouters() const {
+  const std::vector<RouterRef> routers = OtherRouters();
+  return std::ranges::all_of(routers, [&](const RouterRef& router) {
+    return SilenceOf(router) < kCensusSilence;
+  });
+}
+
 void OwnershipController::Impl::AppendReset(
     const schema::EndpointConfig& endpoint, const std::string& proof) {
   schema::LogRecord record;
