--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -287,6 +287,11 @@
   return table_.HighestEpoch(service, partition);
 }
 
+bool OwnershipController::Impl::PrimaryHeard(const schema::View& view) const {
+  // The last report of a lost primary stays as it was.
+  return SilenceOf(FromProto(view.primary())) < options_.suspicion_timeout;
+}
+
 std::vector<EndpointLoad> OwnershipController::Impl::FleetLoads(
     const schema::ServiceConfig& service) const {
   std::vector<EndpointLoad> fleet;
@@ -295,7 +300,7 @@
     if (routing == nullptr) continue;
     fleet.push_back({endpoint.name(), routing->load(),
                      static_cast<std::size_t>(routing->partitions_size()),
-                     routing->accepting()});
+                     routing->accepting() && PrimaryHeard(routing->view())});
   }
   return fleet;
 }
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -177,6 +177,7 @@
   void TickShutdown();
   void TickRebalance();
   void Rebalance(const ServiceId& service, ServiceEntry* entry);
+  bool PrimaryHeard(const schema::View& view) const;
   std::vector<EndpointLoad> FleetLoads(
       const schema::ServiceConfig& service) const;
   EndpointPrimary* FindPrimary(const EndpointId& endpoint);
