Start the memory of request ids anew with every tenure of a primary

A router that was replaced as primary and became primary again kept its memory of request ids, because its own routing state still named it in between.

--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -94,10 +94,15 @@
   next->config_digest = config_.current().digest();
   next->policy = config_.config().policy();
   table_.Fill(config_.config(), next.get());
-  for (const auto& [endpoint, primary] : primaries_) {
-    const auto route = next->endpoints.find(endpoint);
-    if (route == next->endpoints.end()) continue;
-    route->second.authority_until = primary->authority_until();
+  for (auto& [endpoint, route] : next->endpoints) {
+    if (const EndpointPrimary* primary = FindPrimary(endpoint)) {
+      route.authority_until = primary->authority_until();
+      route.tenure = tenures_[endpoint];
+    } else if (route.primary == self_.id) {
+      // The last report before this router was demoted.
+      route.primary.clear();
+      route.accepting = false;
+    }
   }
   for (const auto& [id, router] : fleet_.routers()) {
     if (router.left) continue;
--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -241,6 +241,8 @@
   std::uint64_t grant_sequence_ = 0;
   std::uint64_t locate_query_ = 0;
   std::map<EndpointId, std::unique_ptr<EndpointPrimary>> primaries_;
+  std::map<EndpointId, std::uint64_t> tenures_;
+  std::uint64_t last_tenure_ = 0;
   std::vector<std::unique_ptr<EndpointPrimary>> retired_;
   std::map<EndpointId, EndpointBackup> backups_;
   std::map<EndpointId, EndpointReset> resets_;
--- a/Source/core/controller_roles.cc
+++ b/Source/core/controller_roles.cc
@@ -26,6 +26,7 @@
   const EndpointId endpoint = primary.view().endpoint();
   auto& slot = primaries_[endpoint];
   slot = std::make_unique<EndpointPrimary>(std::move(primary));
+  tenures_[endpoint] = ++last_tenure_;
   if (shutdown_since_) slot->RequestHandover();
   backups_.erase(endpoint);
   RoutingDirty();
--- a/Source/core/routing_snapshot.h
+++ b/Source/core/routing_snapshot.h
@@ -19,6 +19,10 @@
   ServiceId service;
   Fence term;
   RouterId primary;  // empty: no known primary
+  // Set if this router is the primary: a number that changes whenever it
+  // becomes the primary again. Another router may have dispatched in between,
+  // so the memory of request ids must start anew.
+  std::uint64_t tenure = 0;
   bool accepting = false;
   double load = 0;
   std::string state;  // for operators: serving, failing-over, evicted, ...
--- a/Source/router/dispatch_table.cc
+++ b/Source/router/dispatch_table.cc
@@ -48,7 +48,8 @@
   std::vector<EndpointId> gone;
   for (const auto& [name, worker] : workers_) {
     const auto route = snapshot.endpoints.find(name);
-    if (route == snapshot.endpoints.end() || route->second.primary != self_) {
+    if (route == snapshot.endpoints.end() || route->second.primary != self_ ||
+        route->second.tenure != worker->tenure()) {
       gone.push_back(name);
     }
   }
--- a/Source/router/dispatch_worker.h
+++ b/Source/router/dispatch_worker.h
@@ -60,6 +60,7 @@
   }
   const EndpointId& endpoint() const { return route_.config.name(); }
   const Fence& term() const { return route_.term; }
+  std::uint64_t tenure() const { return route_.tenure; }
   bool stopped() const { return stopped_; }
   bool idle() const { return jobs_.empty(); }
   std::size_t queued() const { return dispatcher_.queued(); }
--- a/Tests/Ownership/request_traffic.cc
+++ b/Tests/Ownership/request_traffic.cc
@@ -236,6 +236,8 @@
   for (const auto& [id, route] : table->endpoints) {
     if (route.primary != router->name()) continue;
     Dispatch& dispatch = dispatches[id];
+    if (dispatch.tenure != route.tenure) dispatch = Dispatch{};
+    dispatch.tenure = route.tenure;
     const auto& partitions = table->services.at(route.service).partitions;
     for (PartitionId i = 0; i < partitions.size(); ++i) {
       if (partitions[i].owner == id) {
--- a/Tests/Ownership/request_traffic.h
+++ b/Tests/Ownership/request_traffic.h
@@ -55,6 +55,7 @@
 
   // State of one primary for one endpoint.
   struct Dispatch {
+    std::uint64_t tenure = 0;
     std::map<PartitionId, WallTime> memory_start;
     std::map<std::string, std::optional<ResultCode>> ids;  // unset: running
     std::map<PartitionId, SteadyTime> running_until;
