--- a/Source/core/transfer_sender.h
+++ b/Source/core/transfer_sender.h
@@ -23,7 +23,7 @@
     bool recorded = true;
     std::string cause;
     // Highest term of the target's view that it was sent under.
-    Fence sent_term;
+    Fence sent_term = {};
   };
 
   TransferSender(ControlContext* context, ServiceId service, EndpointId source);
--- a/Tests/Ownership/fault_plan.cc
+++ b/Tests/Ownership/fault_plan.cc
@@ -131,7 +131,7 @@
   std::string trace = "cut";
   for (const auto& [from, to] : links) {
     fleet_->network().Block(from, to);
-    trace += " " + from + ">" + to;
+    trace.append(" ").append(from).append(">").append(to);
   }
   simulation.Trace(trace);
   simulation.After(simulation.Between(Milliseconds(200), Milliseconds(8000)),
--- a/Tests/Ownership/fleet.cc
+++ b/Tests/Ownership/fleet.cc
@@ -66,7 +66,7 @@
   void operator()(const ReportEvent& action) const {
     std::string line = router->name() + " " + action.name;
     for (const auto& [key, value] : action.fields) {
-      line += " " + key + "=" + value;
+      line.append(" ").append(key).append("=").append(value);
     }
     fleet.simulation_->Trace(line);
   }
@@ -159,6 +159,7 @@
   router->Start();
   router->lost = false;
   router->checked_version = 0;
+  router->checked_incarnation = 0;
   vm_list_.Set(router->name(), true, true);
   schema::RouterJoined self;
   self.set_id(router->name());
@@ -301,7 +302,7 @@
   if (simulation_->Chance(log_.lost_answers / 2)) {
     // Takes effect after the writer has given up waiting.
     simulation_->After(
-        simulation_->Between(Milliseconds(600), Milliseconds(1500)), append);
+        simulation_->Between(Milliseconds(600), Milliseconds(4000)), append);
     AnswerAppend(router, generation, kAnswerTimeout, {action.sequence, {}});
     return;
   }
--- a/Tests/Ownership/fleet.h
+++ b/Tests/Ownership/fleet.h
@@ -24,6 +24,7 @@
   using Process::Process;
   std::unique_ptr<OwnershipController> controller;
   std::uint64_t checked_version = 0;
+  std::uint64_t checked_incarnation = 0;
   bool lost = false;  // the VM is gone, not only the process
 
   std::string label() const;
--- a/Tests/Ownership/network.cc
+++ b/Tests/Ownership/network.cc
@@ -1,6 +1,12 @@
 #include "Ownership/network.h"
 
 namespace balsamhall::ownership_test {
+namespace {
+
+// Wall-clock time at which every run starts.
+constexpr RealTime kStartOfRun{1'800'000'000'000'000};
+
+}  // namespace
 
 Process::Process(Simulation* simulation, std::string name,
                  std::string data_centre)
@@ -59,8 +65,7 @@
 }
 
 WallTime Process::WallClock() const {
-  constexpr RealTime kEpoch{1'800'000'000'000'000};
-  return WallTime(kEpoch + wall_offset_ + simulation_->now());
+  return WallTime(kStartOfRun + wall_offset_ + simulation_->now());
 }
 
 void Network::Send(const Process& from, Process* to, Simulation::Step step) {
--- a/Tests/Ownership/ownership_checks.cc
+++ b/Tests/Ownership/ownership_checks.cc
@@ -139,6 +139,14 @@
 }
 
 void OwnershipChecks::AfterRouterEvent(RouterProcess* router) {
+  const std::uint64_t incarnation = router->controller->self().incarnation;
+  if (router->checked_incarnation != 0 &&
+      incarnation != router->checked_incarnation) {
+    throw FailedCheck(fmt::format("incarnation: {} changes from {} to {}",
+                                  router->label(), router->checked_incarnation,
+                                  incarnation));
+  }
+  router->checked_incarnation = incarnation;
   const schema::ConfigSnapshot& current = router->controller->configuration();
   if (current.version() == router->checked_version) return;
   ReadReference();
--- a/Tests/Ownership/ownership_checks.h
+++ b/Tests/Ownership/ownership_checks.h
@@ -30,7 +30,8 @@
   // the partition.
   void OnPeerMessage(const RouterProcess& from,
                      const schema::PeerMessage& message);
-  // P8: versions grow, and equal those of a reader of the whole log.
+  // P8: versions grow, and equal those of a reader of the whole log. A process
+  // keeps its incarnation, for views name it.
   void AfterRouterEvent(RouterProcess* router);
 
   // Endpoint that last came to own the partition; empty if none did.
--- a/Tests/Ownership/random_test_main.cc
+++ b/Tests/Ownership/random_test_main.cc
@@ -30,8 +30,9 @@
   } catch (const FailedCheck& failed) {
     failure = failed.what();
   }
-  if (!failure.empty() || print_trace)
+  if (!failure.empty() || print_trace) {
     scenario.simulation().PrintTrace(std::cout);
+  }
   if (!failure.empty()) {
     std::cout << "seed " << seed << " step " << scenario.simulation().steps()
               << " failed: " << failure << std::endl;
@@ -56,7 +57,8 @@
       "memory-start",
       command);
   TCLAP::SwitchArg keep_going("", "keep-going", "Run all seeds", command);
-  TCLAP::SwitchArg trace("", "trace", "Print the trace of every seed", command);
+  TCLAP::SwitchArg trace("", "trace", "Print the last events of every seed",
+                         command);
   command.parse(argc, argv);
 
   FleetOptions options;
--- a/Tests/Ownership/scenario.cc
+++ b/Tests/Ownership/scenario.cc
@@ -14,6 +14,7 @@
 // takes 1 s to start; a configuration is in force within 16 s.
 constexpr Milliseconds kSettleLimit{35'000};
 constexpr int kSingleFaultKinds = 10;
+constexpr int kSingleFaults = 5;  // per seed
 
 }  // namespace
 
@@ -59,8 +60,7 @@
 }
 
 void Scenario::RunSingleFaults() {
-  constexpr int kFaults = 5;
-  for (int i = 0; i < kFaults; ++i) {
+  for (int i = 0; i < kSingleFaults; ++i) {
     simulation_.RunUntil(simulation_.now() + Milliseconds(3000));
     RunSingleFault(simulation_.Uniform(0, kSingleFaultKinds - 1));
     faults_.HealAll();
