--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -114,6 +114,7 @@
   void ApplyRecord(std::uint64_t offset, const schema::LogRecord& record);
   void ApplyFleetRecord(std::uint64_t offset, const schema::LogRecord& record);
   void FinishStart();
+  void AdoptOwnIncarnation();
   void OnViewsSet(const std::vector<schema::View>& views);
   void OnAssigned(const ServiceId& service);
   void OnResetAccepted(const schema::View& view);
--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -71,14 +71,8 @@
     std::uint64_t offset, const schema::LogRecord& record) {
   switch (record.body_case()) {
     case schema::LogRecord::kRouterJoined: {
-      const schema::RouterJoined& join = record.router_joined();
-      if (fleet_.OnRouterJoined(offset, join) && join.id() == self_.id &&
-          join.nonce() == join_.nonce()) {
-        self_.incarnation = offset;
-        Emit(ReportEvent{"router_joined",
-                         ResultCode::kOk,
-                         {{"incarnation", std::to_string(offset)}}});
-      }
+      fleet_.OnRouterJoined(offset, record.router_joined());
+      AdoptOwnIncarnation();
       break;
     }
     case schema::LogRecord::kRouterLeft:
@@ -106,6 +100,19 @@
   RoutingDirty();
 }
 
+void OwnershipController::Impl::AdoptOwnIncarnation() {
+  // The own join may also be learned from a snapshot or from a peer.
+  const auto known = fleet_.routers().find(self_.id);
+  if (self_.incarnation != 0 || known == fleet_.routers().end() ||
+      known->second.join.nonce() != join_.nonce()) {
+    return;
+  }
+  self_.incarnation = known->second.incarnation;
+  Emit(ReportEvent{"router_joined",
+                   ResultCode::kOk,
+                   {{"incarnation", std::to_string(self_.incarnation)}}});
+}
+
 void OwnershipController::Impl::On(const LogReadFinished& event) {
   reading_ = false;
   next_read_ = now_;
@@ -150,6 +157,7 @@
   std::uint64_t from = 0;
   if (newest != nullptr) {
     fleet_.Merge(*newest);
+    AdoptOwnIncarnation();
     for (const auto& view : newest->views()) table_.NoteView(view);
     from = newest->as_of();
   }
--- a/Source/core/controller_peers.cc
+++ b/Source/core/controller_peers.cc
@@ -359,6 +359,7 @@
   // While the log answers, it alone decides.
   if (log_reachable_) return;
   fleet_.Merge(reply.fleet());
+  AdoptOwnIncarnation();
   if (config_.OnPeerSnapshot(reply.config())) ConfigChanged();
   for (const auto& view : reply.fleet().views()) table_.NoteView(view);
   RoutingDirty();
--- a/Tests/Ownership/ownership_checks.cc
+++ b/Tests/Ownership/ownership_checks.cc
@@ -140,11 +140,14 @@
 
 void OwnershipChecks::AfterRouterEvent(RouterProcess* router) {
   const std::uint64_t incarnation = router->controller->self().incarnation;
-  if (router->checked_incarnation != 0 &&
-      incarnation != router->checked_incarnation) {
-    throw FailedCheck(fmt::format("incarnation: {} changes from {} to {}",
-                                  router->label(), router->checked_incarnation,
-                                  incarnation));
+  const auto table = router->controller->routing();
+  const auto known = table->routers.find(router->name());
+  const bool mistaken = incarnation != 0 && known != table->routers.end() &&
+                        known->second.incarnation != incarnation;
+  if (mistaken || (router->checked_incarnation != 0 &&
+                   incarnation != router->checked_incarnation)) {
+    throw FailedCheck(fmt::format("incarnation: {} has more than one: {}",
+                                  router->label(), incarnation));
   }
   router->checked_incarnation = incarnation;
   const schema::ConfigSnapshot& current = router->controller->configuration();
