--- a/Source/router/entry_handler.cc
+++ b/Source/router/entry_handler.cc
@@ -12,6 +12,9 @@
 // Time after which an attempt is repeated without a newer route.
 constexpr Milliseconds kFirstBackoff{50};
 constexpr std::uint32_t kMaxBackoffShift = 3;
+// An endpoint that refuses connections is evicted in about 0.6 s; more attempts
+// before that would only use up the retry budget.
+constexpr Milliseconds kNoConnectionBackoff{400};
 constexpr std::size_t kForwardOverheadBytes = 200;
 
 Microseconds Since(SteadyTime start, SteadyTime now) {
@@ -288,8 +291,10 @@
     Attempt(entry, now);  // another endpoint can take it at once
     return;
   }
+  const Milliseconds backoff =
+      kFirstBackoff * (1U << std::min(entry->attempts, kMaxBackoffShift));
   Wait(entry, code,
-       kFirstBackoff * (1U << std::min(entry->attempts, kMaxBackoffShift)),
+       code == ResultCode::kNotRunNoConnection ? kNoConnectionBackoff : backoff,
        now);
 }
 
