--- a/Source/router/traffic_worker.cc
+++ b/Source/router/traffic_worker.cc
@@ -264,8 +264,8 @@
 
   void ReportLoad() {
     if (ticks_ % kTicksPerMemoryReading == 0) memory_ = ResidentMemory();
-    entry_.ReportLoad(worst_delay_, memory_);
-    worst_delay_ = Microseconds(0);
+    entry_.ReportLoad(least_delay_, memory_);
+    least_delay_ = Microseconds::max();
     metrics_.Set("queued_requests", "", static_cast<double>(table_.queued()));
     metrics_.Set("running_requests", "", static_cast<double>(table_.running()));
     metrics_.Set("waiting_requests", "", static_cast<double>(entry_.waiting()));
@@ -282,7 +282,7 @@
   asio::steady_timer tick_timer_;
   SteadyTime next_tick_;
   std::uint64_t ticks_ = 0;
-  Microseconds worst_delay_{0};
+  Microseconds least_delay_ = Microseconds::max();
   std::size_t memory_ = 0;
   FaultLog faults_;
   std::shared_ptr<const RoutingSnapshot> snapshot_;
