Lower the bound of attached repeats to 8

Cause: the bodies of attached repeats are held outside the queue and are not covered by its byte bound; 64 repeats of 1 MiB for each queued request are too much memory for a small VM.

Change: the default of max_attached is 8.

--- a/Source/dispatch/endpoint_dispatcher.h
+++ b/Source/dispatch/endpoint_dispatcher.h
@@ -82,7 +82,9 @@
   Milliseconds memory_window{600'000};
   std::size_t max_remembered = 200'000;
   std::size_t max_remembered_bytes = 64U << 20U;
-  std::size_t max_attached = 64;  // waiting repeats of one request id
+  // Waiting repeats of one request id. Their bodies are held outside the queue,
+  // so its byte bound does not cover them.
+  std::size_t max_attached = 8;
   Milliseconds clock_skew{2000};
   Milliseconds ramp{10'000};
   bool check_memory_start = true;  // removed only by the random test
