Refuse a publication that changes the partitions of a service

Cause: the design fixes the partitions of a service for its lifetime, but a body published past the operator commands was accepted with other partitions; keys would have two owners during the change.

Change: ConfigRegister applies CheckConfigChange against the version that a publication is based on, which is the same for every reader.

--- a/Source/core/config_register.cc
+++ b/Source/core/config_register.cc
@@ -2,6 +2,7 @@
 
 #include <utility>
 
+#include "core/config_rules.h"
 #include "core/invariant.h"
 #include "core/partitioner.h"
 
@@ -78,6 +79,11 @@
     }
     auto config = parse_(publication.body());
     if (!config) return ConfigVerdict::kInvalid;
+    // Every reader that judges this publication holds the version that it is
+    // based on, so all compare with the same configuration.
+    if (!CheckConfigChange(config_, config.value()).empty()) {
+      return ConfigVerdict::kInvalid;
+    }
     schema::ConfigSnapshot snapshot;
     snapshot.set_version(offset);
     snapshot.set_digest(publication.digest());
--- a/Source/router/submission_tracker.cc
+++ b/Source/router/submission_tracker.cc
@@ -37,8 +37,7 @@
     const auto result = controller.ResultOf(item.first);
     if (!result) return false;
     const std::uint64_t version = controller.configuration().version();
-    if (item.second.publication &&
-        result->verdict == ConfigVerdict::kIgnored &&
+    if (item.second.publication && result->verdict == ConfigVerdict::kIgnored &&
         version < result->offset) {
       return false;  // read, but not judged yet
     }
--- a/Tests/Core/config_register_test.cc
+++ b/Tests/Core/config_register_test.cc
@@ -293,6 +293,31 @@
   BOOST_CHECK_EQUAL(target.current().version(), 13U);
 }
 
+// Guards against a publication that changes the partitions of a service in
+// force: keys would have two owners during the change. The publication comes
+// past the operator commands, which refuse it as well.
+BOOST_AUTO_TEST_CASE(PartitionsOfAServiceAreFixed) {
+  ConfigRegister target(
+      [](const std::string& body) -> Result<schema::RoutingConfig> {
+        schema::RoutingConfig config;
+        config.add_services()->set_name("lookup");
+        config.mutable_services(0)->set_partitions(std::stoul(body));
+        return config;
+      });
+  target.OnReachedEnd();
+  const auto publish = [&](std::uint64_t offset, const std::string& body) {
+    schema::ConfigPublished publication;
+    publication.set_based_on(target.current().version());
+    publication.set_body(body);
+    publication.set_digest(Digest(body));
+    return target.OnPublished(offset, publication);
+  };
+  BOOST_CHECK(publish(5, "64") == ConfigVerdict::kAccepted);
+  BOOST_CHECK(publish(6, "128") == ConfigVerdict::kInvalid);
+  BOOST_CHECK(publish(7, "064") == ConfigVerdict::kAccepted);
+  BOOST_TEST(target.current().version() == 7U);
+}
+
 // Guards against a history of verdicts that grows without bound.
 BOOST_AUTO_TEST_CASE(HistoryOfVerdictsIsBounded) {
   ConfigRegister target(ParseBody);
--- a/Tests/Router/fleet.h
+++ b/Tests/Router/fleet.h
@@ -117,10 +117,8 @@
 
   nlohmann::json Rpc(std::size_t router, const std::string& method,
                      const nlohmann::json& params) const {
-    const nlohmann::json call{{"jsonrpc", "2.0"},
-                              {"id", 1},
-                              {"method", method},
-                              {"params", params}};
+    const nlohmann::json call{
+        {"jsonrpc", "2.0"}, {"id", 1}, {"method", method}, {"params", params}};
     const auto outcome = Control(router, "POST", "/rpc", call.dump());
     if (!outcome.response) return {{"failed", outcome.error.detail}};
     return nlohmann::json::parse(outcome.response->body, nullptr, false);
--- a/Tests/Router/path_test.cc
+++ b/Tests/Router/path_test.cc
@@ -214,12 +214,12 @@
 
 // Guards against a second publication on the same base that is accepted.
 BOOST_AUTO_TEST_CASE(StalePublicationNamesTheWinner) {
-  const auto reply = SharedFleet::fleet->Rpc(
-      1, "publish",
-      {{"operator_key", Fleet::kOperatorKey},
-       {"based_on", "0"},
-       {"author", "other"},
-       {"body", SharedFleet::fleet->config().dump()}});
+  const auto reply =
+      SharedFleet::fleet->Rpc(1, "publish",
+                              {{"operator_key", Fleet::kOperatorKey},
+                               {"based_on", "0"},
+                               {"author", "other"},
+                               {"body", SharedFleet::fleet->config().dump()}});
   BOOST_REQUIRE_MESSAGE(reply.contains("result"), reply.dump());
   const auto result = nlohmann::json::parse(reply["result"].get<std::string>());
   BOOST_CHECK_EQUAL(result["code"].get<int>(), 302);
--- a/Tests/Router/process.h
+++ b/Tests/Router/process.h
@@ -30,8 +30,8 @@
     argv.reserve(arguments.size() + 1);
     for (std::string& argument : arguments) argv.push_back(argument.data());
     argv.push_back(nullptr);
-    const int failed = posix_spawn(&pid_, argv[0], &actions, nullptr,
-                                   argv.data(), environ);
+    const int failed =
+        posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ);
     posix_spawn_file_actions_destroy(&actions);
     if (failed != 0) throw std::runtime_error("cannot start " + arguments[0]);
   }
@@ -55,8 +55,7 @@
       int status = 0;
       if (waitpid(pid_, &status, WNOHANG) == pid_) {
         running_ = false;
-        return WIFEXITED(status) ? WEXITSTATUS(status)
-                                 : 128 + WTERMSIG(status);
+        return WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
       }
       std::this_thread::sleep_for(Milliseconds(5));
     }
