Refuse to declare a live or unknown VM lost

Cause: a declaration is taken as proof that a VM is gone; a mistyped name or a VM that still runs would give its roles to others.

Change: balsamhall-publish refuses a router that answers or that another one reaches, and a name that is neither a known router nor the VM of an endpoint in force. A process test declares a killed router lost.

--- a/Source/operator/publisher.cc
+++ b/Source/operator/publisher.cc
@@ -232,6 +232,7 @@
          "nothing was declared: no answering router reaches the log");
     return std::move(report_);
   }
+  if (!CheckLost(vm)) return std::move(report_);
   for (const auto& address : AnsweringRouters()) {
     const auto result = client_.DeclareLost(address, vm, options_.author);
     if (result) {
@@ -255,6 +256,40 @@
   return std::move(report_);
 }
 
+bool Publisher::CheckLost(const std::string& vm) {
+  bool known = false;
+  for (const auto& router : fleet_.routers) {
+    if (router.id != vm) continue;
+    known = true;
+    if (Fleet::IsLive(router)) {
+      Fail(
+          ResultCode::kOperatorUsage,
+          fmt::format("nothing was declared: router {} is not lost, because "
+                      "{}",
+                      vm, router.status ? "it answers" : "another reaches it"));
+      return false;
+    }
+  }
+  if (known) return true;
+  const auto in_force = NewestConfiguration();
+  // Without a configuration a wrong name can't be told from a right one.
+  if (!in_force || in_force.value().version() == 0) return true;
+  const auto config = ParseConfig(in_force.value().body());
+  if (!config) return true;
+  for (const auto& service : config.value().services()) {
+    for (const auto& endpoint : service.endpoints()) {
+      const auto& name =
+          endpoint.vm().empty() ? endpoint.name() : endpoint.vm();
+      if (name == vm) return true;
+    }
+  }
+  Fail(ResultCode::kOperatorNotFound,
+       fmt::format("nothing was declared: {} is neither a known router nor the "
+                   "VM of an endpoint in force",
+                   vm));
+  return false;
+}
+
 bool Publisher::LogReachable() const {
   return std::ranges::any_of(fleet_.routers, [](const RouterAnswer& router) {
     return router.status && router.status->log_reachable();
--- a/Source/operator/publisher.h
+++ b/Source/operator/publisher.h
@@ -56,6 +56,8 @@
                       const schema::ConfigSnapshot& in_force);
   void WaitUntilInForce();
 
+  // Returns false and sets the outcome if the VM is unknown or a live router.
+  bool CheckLost(const std::string& vm);
   bool LogReachable() const;
   Result<schema::ConfigSnapshot> NewestConfiguration();
   std::vector<std::string> AnsweringRouters() const;
--- a/Tests/Operator/publication_test.cc
+++ b/Tests/Operator/publication_test.cc
@@ -150,6 +150,38 @@
   BOOST_TEST(fleet.Version() == base);
 }
 
+// Guards against a lost VM that counts as present after an operator declared it
+// lost, and against a live one that is declared lost by mistake. The list of
+// VMs still names both.
+BOOST_AUTO_TEST_CASE(DeclaredRouterIsNoLongerAPeer) {
+  ProcessFleet fleet(3);
+  BOOST_REQUIRE_EQUAL(fleet.Publish(fleet.WriteSheet(1), 0), 0);
+  const auto declare = [&](const char* vm) {
+    ::setenv("BALSAMHALL_OPERATOR_KEY", ProcessFleet::kOperatorKey, 1);
+    const auto command =
+        fleet.Start("balsamhall-publish", {"--declare-lost", vm});
+    const int status = command->Wait(Milliseconds(30'000)).value_or(-1);
+    ::unsetenv("BALSAMHALL_OPERATOR_KEY");
+    return status;
+  };
+  const auto peers = [&] {
+    std::set<std::string> names;
+    const auto status = fleet.Status(0).value();
+    for (const auto& peer : status.peers()) names.insert(peer.join().id());
+    return names;
+  };
+  BOOST_REQUIRE(ProcessFleet::WaitUntil([&] { return peers().size() == 2; },
+                                        Milliseconds(10'000)));
+  BOOST_TEST(declare("router-2") == static_cast<int>(ExitStatus::kUsage));
+  BOOST_TEST(declare("router-9") == static_cast<int>(ExitStatus::kNotFound));
+  fleet.StopRouter(2, SIGKILL);
+  BOOST_TEST(ProcessFleet::WaitUntil([&] { return declare("router-3") == 0; },
+                                     Milliseconds(10'000)));
+  BOOST_TEST(ProcessFleet::WaitUntil(
+      [&] { return peers() == std::set<std::string>{"router-2"}; },
+      Milliseconds(10'000)));
+}
+
 // Guards against explanations that do not fit what the routers did.
 BOOST_AUTO_TEST_CASE(CommandsExplainKeysAndRequests) {
   ProcessFleet fleet(3);
--- a/Tests/Operator/publisher_test.cc
+++ b/Tests/Operator/publisher_test.cc
@@ -222,6 +222,44 @@
   BOOST_TEST(routers.publications() == 2);
 }
 
+struct Declaration {
+  const char* name;
+  const char* vm;
+  bool router_answers;
+  bool router_reached;
+  ResultCode outcome;
+};
+
+std::ostream& operator<<(std::ostream& stream, const Declaration& test) {
+  return stream << test.name;
+}
+
+// Guards against a live VM declared lost, whose roles would be given to others
+// while it still acts, and against a mistyped name that proves nothing.
+const Declaration kDeclarations[] = {
+    {"VM of an endpoint", "lookup-1", true, true, ResultCode::kOk},
+    {"unknown VM", "lookup-9", true, true, ResultCode::kOperatorNotFound},
+    {"router that answers", "router-2", true, true, ResultCode::kOperatorUsage},
+    {"router that others reach", "router-2", false, true,
+     ResultCode::kOperatorUsage},
+    {"router that nobody reaches", "router-2", false, false, ResultCode::kOk},
+};
+
+BOOST_DATA_TEST_CASE(OnlyLostVmsAreDeclared, data::make(kDeclarations), test) {
+  FakeRouters routers(2);
+  BOOST_REQUIRE(
+      routers.Append({0, "bob", ConfigToJson(SmallConfig(2), false)}));
+  routers.router(2).answers = test.router_answers;
+  routers.router(1).status.mutable_peers(0)->set_reachable(test.router_reached);
+  Publisher publisher(routers, ShortOptions("ann"));
+  const auto report = publisher.DeclareLost(test.vm);
+  BOOST_TEST(
+      static_cast<int>(report.outcome.code) == static_cast<int>(test.outcome),
+      report.outcome.detail);
+  BOOST_TEST(routers.publications() ==
+             (test.outcome == ResultCode::kOk ? 1 : 0));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
