Answer unknown for repeats that no owner judged

Cause: an entry router without a route, a configuration or CPU time answered not-run to a repeat although an earlier attempt may have been executed, against the promise that a request reported not run was not run. Only the owner's memory of request ids proves that; everything else about a possible repeat is code 206 now.

--- a/Source/core/result_code.cc
+++ b/Source/core/result_code.cc
@@ -56,6 +56,8 @@
      "First issued longer ago than the memory of request ids lasts."},
     {ResultCode::kUnknownRouterLost, "unknown-router-lost",
      "The connection to the primary router closed after forwarding."},
+    {ResultCode::kUnknownEarlierAttempt, "unknown-earlier-attempt",
+     "This attempt was not run; an earlier one may have been."},
     {ResultCode::kConfigSyntax, "config-syntax",
      "The configuration is not valid JSON of the schema."},
     {ResultCode::kConfigInvalid, "config-invalid",
--- a/Source/core/result_code.h
+++ b/Source/core/result_code.h
@@ -40,6 +40,7 @@
   kUnknownRepeatBeforeMemory = 203,
   kUnknownRepeatOutsideWindow = 204,
   kUnknownRouterLost = 205,
+  kUnknownEarlierAttempt = 206,
   // 3xx: configuration and operator commands.
   kConfigSyntax = 300,
   kConfigInvalid = 301,
--- a/Source/router/caller_request.cc
+++ b/Source/router/caller_request.cc
@@ -106,6 +106,21 @@
   return PartitionOf(key, service.config.partitions());
 }
 
+bool MayHaveRunBefore(const HttpHeaders& headers, ResultCode refusal) {
+  const std::string_view attempt = FindHeader(headers, "Balsamhall-Attempt");
+  if (attempt == "1") return false;
+  switch (refusal) {
+    case ResultCode::kNotRunNoOwner:
+    case ResultCode::kNotRunRouterOverloaded:
+      return !FindHeader(headers, "Balsamhall-First-Issued").empty();
+    case ResultCode::kNotRunUnknownService:
+    case ResultCode::kNotRunUnknownKind:
+      return !attempt.empty();
+    default:
+      return false;
+  }
+}
+
 Result<CallerRequest> ParseCallerRequest(HttpRequest& request,
                                          const RoutingSnapshot& snapshot) {
   if (request.method != "GET" && request.method != "POST") {
--- a/Source/router/caller_request.h
+++ b/Source/router/caller_request.h
@@ -32,6 +32,11 @@
   Milliseconds time_allowed{0};
 };
 
+// Returns true if a request that this router refuses by itself may have been
+// executed in an earlier attempt. A router with an older configuration or none
+// can't tell whether the kind is idempotent; the headers tell. Thread-safe.
+bool MayHaveRunBefore(const HttpHeaders& headers, ResultCode refusal);
+
 // Checks path, method and headers against the configuration. The body is
 // moved out of the request.
 Result<CallerRequest> ParseCallerRequest(HttpRequest& request,
--- a/Source/router/entry_handler.cc
+++ b/Source/router/entry_handler.cc
@@ -109,7 +109,10 @@
   if (service == snapshot_->services.end()) return std::nullopt;
   const auto match = FindKind(service->second, path.value().kind);
   if (!match || guard_.Admit(match->kind->rank())) return std::nullopt;
-  const ResultCode code = ResultCode::kNotRunRouterOverloaded;
+  ResultCode code = ResultCode::kNotRunRouterOverloaded;
+  if (MayHaveRunBefore(head.headers, code)) {
+    code = ResultCode::kUnknownEarlierAttempt;
+  }
   metrics_.RecordRequest(match->kind->rank(), ResultClass(code),
                          static_cast<unsigned>(code), Microseconds(0), false);
   return ResponseOf(ReplyOf(code), std::string(FindHeader(
@@ -140,7 +143,10 @@
 }
 
 void EntryHandler::Reject(const HttpRequest& request, const Respond& respond,
-                          const Error& error) {
+                          Error error) {
+  if (MayHaveRunBefore(request.headers, error.code)) {
+    error.code = ResultCode::kUnknownEarlierAttempt;
+  }
   const auto code = static_cast<unsigned>(error.code);
   metrics_.Add("rejected_requests_total",
                "code=\"" + std::to_string(code) + "\"", 1);
@@ -276,6 +282,7 @@
   }
   const bool idempotent = entry->request.kind.idempotent();
   if (idempotent && IsUnknown(code)) entry->maybe_ran = code;
+  if (IsOwnersVerdict(code)) entry->owners_verdict = code;
   const RetryRule rule = RetryRuleOf(code, idempotent);
   const bool free = AttemptWasFree(code, target.local);
   if (free) --entry->attempts;
@@ -365,6 +372,13 @@
     code = *entry.maybe_ran;
     reply = ReplyOf(code);
   }
+  // Only the owner knows whether an earlier attempt was run.
+  const bool repeat = !entry.request.kind.idempotent() &&
+                      !entry.request.forward.first_attempt();
+  if (IsNotRun(code) && repeat && entry.owners_verdict != code) {
+    code = ResultCode::kUnknownEarlierAttempt;
+    reply = ReplyOf(code);
+  }
   const auto latency = Since(entry.started, now);
   const schema::KindConfig& kind = entry.request.kind;
   const bool in_target =
--- a/Source/router/entry_handler.h
+++ b/Source/router/entry_handler.h
@@ -92,6 +92,8 @@
     schema::ForwardReply last;
     // An idempotent request that may have run is never reported as not run.
     std::optional<ResultCode> maybe_ran;
+    // Latest code that the owner's memory of request ids stands behind.
+    std::optional<ResultCode> owners_verdict;
     bool budget_due = false;
     SteadyTime retry_at;
     std::size_t bytes = 0;
@@ -112,8 +114,7 @@
             SteadyTime now);
   bool RouteChanged(const Entry& entry) const;
   void Finish(Entry& entry, schema::ForwardReply reply);
-  void Reject(const HttpRequest& request, const Respond& respond,
-              const Error& error);
+  void Reject(const HttpRequest& request, const Respond& respond, Error error);
   void RecordSpan(const Entry& entry, unsigned code, SteadyTime now);
   void UpdatePolicy(SteadyTime now);
 
--- a/Source/router/retry_rule.cc
+++ b/Source/router/retry_rule.cc
@@ -24,6 +24,21 @@
   }
 }
 
+bool IsOwnersVerdict(ResultCode code) {
+  switch (code) {
+    case ResultCode::kNotRunDeadline:
+    case ResultCode::kNotRunQueueFull:
+    case ResultCode::kNotRunShed:
+    case ResultCode::kNotRunDraining:
+    case ResultCode::kNotRunStaleFence:
+    case ResultCode::kNotRunNoConnection:
+    case ResultCode::kNotRunCancelled:
+      return true;
+    default:
+      return false;
+  }
+}
+
 bool AttemptWasFree(ResultCode code, bool local) {
   if (code == ResultCode::kNotRunRouterUnreachable) return true;
   return local && (code == ResultCode::kNotRunMoved ||
--- a/Source/router/retry_rule.h
+++ b/Source/router/retry_rule.h
@@ -18,6 +18,10 @@
 // is idempotent. Thread-safe.
 RetryRule RetryRuleOf(ResultCode code, bool idempotent);
 
+// Returns true if the endpoint's primary gives this code only after it looked
+// up the request id: then no earlier attempt was run either. Thread-safe.
+bool IsOwnersVerdict(ResultCode code);
+
 // Returns true if the attempt put no load on any server, so that its repeat is
 // free: nothing left this process.
 bool AttemptWasFree(ResultCode code, bool local);
