--- a/Source/core/controller_impl.cc
+++ b/Source/core/controller_impl.cc
@@ -94,10 +94,15 @@
   next->config_digest = config_.current().digest();
   next->policy = config_.config().policy();
   table_.Fill(config_.config(), next.get());
-  for (const auto& [endpoint, primary] : primaries_) {
-    const auto route = next->endpoints.find(endpoint);
-    if (route == next->endpoints.end()) continue;
-    route->second.authority_until = primary->authority_until();
+  for (auto& [endpoint, route] : next->endpoints) {
+    if (const EndpointPrimary* primary = FindPrimary(endpoint)) {
+      route.authority_until = primary->authority_until();
+      route.tenure = tenures_[endpoint];
+    } else if (route.primary == self_.id) {
+      // The last report before this router was demoted.
+      route.primary.clear();
+      route.accepting = false;
+    }
   }
   for (const auto& [id, router] : fleet_.routers()) {
     if (router.left) continue;
@@ -287,6 +292,11 @@
   return table_.HighestEpoch(service, partition);
 }
 
+bool OwnershipController::Impl::PrimaryHeard(const schema::View& view) const {
+  // The last report of a lost primary stays as it was.
+  return SilenceOf(FromProto(view.primary())) < options_.suspicion_timeout;
+}
+
 std::vector<EndpointLoad> OwnershipController::Impl::FleetLoads(
     const schema::ServiceConfig& service) const {
   std::vector<EndpointLoad> fleet;
@@ -295,7 +305,7 @@
     if (routing == nullptr) continue;
     fleet.push_back({endpoint.name(), routing->load(),
                      static_cast<std::size_t>(routing->partitions_size()),
-                     routing->accepting()});
+                     routing->accepting() && PrimaryHeard(routing->view())});
   }
   return fleet;
 }
