--- a/Tests/Operator/commands_test.cc
+++ b/Tests/Operator/commands_test.cc
@@ -2,14 +2,17 @@
 
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/fmt/ranges.h>
+#include <unistd.h>
 
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
+#include <filesystem>
 #include <set>
 #include <sstream>
 
+#include "Operator/child_process.h"
 #include "config/text_file.h"
 
 namespace balsamhall {
@@ -224,6 +227,28 @@
   }
 }
 
+// Guards against a page of another binary that names other options than the
+// binary has.
+BOOST_DATA_TEST_CASE(BinaryPageNamesTheSameOptions,
+                     data::make({"balsamhall-router", "balsamhall-load"}),
+                     name) {
+  const auto page = ReadTextFile(fmt::format("Help/{}.md", name));
+  BOOST_REQUIRE(page);
+  const auto output = (std::filesystem::temp_directory_path() /
+                       fmt::format("{}-help-{}", name, ::getpid()))
+                          .string();
+  std::filesystem::remove(output);
+  ChildProcess process(fmt::format("{}/{}", BALSAMHALL_BINARY_DIR, name),
+                       {"--help"}, output);
+  BOOST_TEST(process.Wait(Milliseconds(10'000)).value_or(-1) == 0);
+  auto options = LongOptions(process.Output());
+  std::filesystem::remove(output);
+  // TCLAP adds "--ignore_rest" to every binary.
+  options.erase("--ignore");
+  BOOST_TEST(LongOptions(page.value()) == options,
+             boost::test_tools::per_element());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
