--- a/Tests/Config/settings_loader_test.cc
+++ b/Tests/Config/settings_loader_test.cc
@@ -117,6 +117,15 @@
   }
 }
 
+// Guards against an example that no longer starts a router.
+BOOST_AUTO_TEST_CASE(ExampleIsValid) {
+  ::setenv("BALSAMHALL_OPERATOR_KEY", "key", 1);
+  const auto result = LoadSettings("Examples/router.json");
+  ::unsetenv("BALSAMHALL_OPERATOR_KEY");
+  BOOST_REQUIRE_MESSAGE(result, Detail(result));
+  BOOST_TEST(result.value().operator_key() == "key");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
