--- a/Source/dispatch/endpoint_dispatcher.h
+++ b/Source/dispatch/endpoint_dispatcher.h
@@ -36,6 +36,9 @@
   bool long_running = false;
   std::optional<PartitionId> partition;  // unset: not owned by partition
   std::optional<WallTime> first_issued;  // set for non-idempotent requests
+  // The caller declares that it never sent this id before. Nobody can have
+  // executed it, so it needs no memory that reaches back to its first issue.
+  bool first_attempt = false;
   SteadyTime deadline;
   std::size_t bytes = 0;
   // Selects the service time used for admission; any stable small number.
@@ -82,7 +85,9 @@
   Milliseconds memory_window{600'000};
   std::size_t max_remembered = 200'000;
   std::size_t max_remembered_bytes = 64U << 20U;
-  std::size_t max_attached = 64;  // waiting repeats of one request id
+  // Waiting repeats of one request id. Their bodies are held outside the queue,
+  // so its byte bound does not cover them.
+  std::size_t max_attached = 8;
   Milliseconds clock_skew{2000};
   Milliseconds ramp{10'000};
   bool check_memory_start = true;  // removed only by the random test
--- a/Source/router/caller_request.cc
+++ b/Source/router/caller_request.cc
@@ -106,6 +106,21 @@
   return PartitionOf(key, service.config.partitions());
 }
 
+bool MayHaveRunBefore(const HttpHeaders& headers, ResultCode refusal) {
+  const std::string_view attempt = FindHeader(headers, "Balsamhall-Attempt");
+  if (attempt == "1") return false;
+  switch (refusal) {
+    case ResultCode::kNotRunNoOwner:
+    case ResultCode::kNotRunRouterOverloaded:
+      return !FindHeader(headers, "Balsamhall-First-Issued").empty();
+    case ResultCode::kNotRunUnknownService:
+    case ResultCode::kNotRunUnknownKind:
+      return !attempt.empty();
+    default:
+      return false;
+  }
+}
+
 Result<CallerRequest> ParseCallerRequest(HttpRequest& request,
                                          const RoutingSnapshot& snapshot) {
   if (request.method != "GET" && request.method != "POST") {
@@ -139,6 +154,13 @@
     if (!number || *number <= 0) return BadHeader("Balsamhall-First-Issued");
     parsed.forward.set_first_issued_ms(*number);
   }
+  const std::string_view attempt =
+      FindHeader(request.headers, "Balsamhall-Attempt");
+  if (!attempt.empty()) {
+    const auto number = ParseNumber<std::uint32_t>(attempt);
+    if (!number || *number == 0) return BadHeader("Balsamhall-Attempt");
+    parsed.forward.set_first_attempt(*number == 1);
+  }
   const auto allowed = TimeAllowed(request, parsed.kind);
   if (!allowed) return allowed.error();
   parsed.time_allowed = allowed.value();
