--- a/Source/capacity/control_probes.cc
+++ b/Source/capacity/control_probes.cc
@@ -138,18 +138,21 @@
   shape.endpoints = 128;
   shape.partitions = 2048;  // 64 for each endpoint
   shape.fenced = fenced;
+  const double before = AllocatedBytes();
   ControllerFixture fixture(shape);
   fixture.Settle();
+  const double memory = AllocatedBytes() - before;
   std::vector<Reading> readings;
   for (std::size_t run = 0; run < runs; ++run) {
     const ControlCost quiet = fixture.Run(Milliseconds{3000}, false);
     const ControlCost busy = fixture.Run(Milliseconds{3000}, true);
     const auto peers = static_cast<double>(shape.routers);
-    readings.push_back(
-        {quiet.micros / 3, quiet.grants / 3, quiet.grant_json_bytes / 3,
-         quiet.response_json_bytes / 3, quiet.json_micros / 3, busy.micros / 3,
-         busy.peer_bytes / 3 / peers, quiet.witness_messages / 3,
-         quiet.witness_bytes / 3, static_cast<double>(fixture.own_serving())});
+    readings.push_back({quiet.micros / 3, quiet.grants / 3,
+                        quiet.grant_json_bytes / 3,
+                        quiet.response_json_bytes / 3, quiet.json_micros / 3,
+                        busy.micros / 3, busy.peer_bytes / 3 / peers,
+                        quiet.witness_messages / 3, quiet.witness_bytes / 3,
+                        static_cast<double>(fixture.own_serving()), memory});
   }
   return readings;
 }
@@ -179,12 +182,14 @@
   shape.backups = backups;
   shape.endpoints = 128;
   shape.partitions = 2048;
+  const double before = AllocatedBytes();
   ControllerFixture fixture(shape);
   fixture.Settle();
+  const double memory = AllocatedBytes() - before;
   std::vector<Reading> readings;
   for (std::size_t run = 0; run < runs; ++run) {
     const ControlCost cost = fixture.Run(Milliseconds{3000}, false);
-    readings.push_back({cost.micros / 3});
+    readings.push_back({cost.micros / 3, memory});
   }
   return readings;
 }
@@ -230,7 +235,9 @@
            {"reports per receiver", "B/s"},
            {"witness messages", "1/s"},
            {"witness bytes", "B/s"},
-           {"serving", "endpoints"}},
+           {"serving", "endpoints"},
+           // With the lease holder that stands in for the endpoint.
+           {"memory", "B"}},
           {1, 4, 16, 64},
           [fenced](std::size_t size, std::size_t runs) {
             return ByOwnEndpoints(size, runs, fenced);
@@ -271,7 +278,11 @@
             {"reports per receiver", "B/s"}},
            {16, 64, 256, 1024},
            ByOwnPartitions},
-          {"backup", "endpoint", {{"cpu", "us/s"}}, {1, 4, 16, 64}, ByBackups},
+          {"backup",
+           "endpoint",
+           {{"cpu", "us/s"}, {"memory", "B"}},
+           {1, 4, 16, 64},
+           ByBackups},
           {"witness",
            "grant",
            {{"cpu", "us"}, {"request", "B"}, {"reply", "B"}},
