--- a/Tests/Router/earlier_attempt_test.cc
+++ b/Tests/Router/earlier_attempt_test.cc
@@ -63,7 +63,8 @@
   TraceStore traces(16, "");
   const SteadyTime now = std::chrono::steady_clock::now();
   EntryHandler entry(
-      EntryOptions{}, [](DispatchJob) {}, forwards, metrics, traces, now);
+      EntryOptions{}, [](const DispatchJob&) {}, forwards, metrics, traces,
+      now);
   entry.Apply(SnapshotWithoutOwners(test.config_version), now);
   HttpRequest request;
   request.method = "POST";
