Notice log truncation before the records behind the gap, and smaller pages

Cause: truncation was judged at the end of a page, after its records had advanced the offset, so it went unnoticed when records followed; and a page of 500 large configurations exceeded the client's limit, so a router could not start, without an event. Each record now tells the oldest retained offset, and the page size halves after a failed read.

--- a/Source/core/controller_impl.h
+++ b/Source/core/controller_impl.h
@@ -114,6 +114,7 @@
   void ApplyRecord(std::uint64_t offset, const schema::LogRecord& record);
   void ApplyFleetRecord(std::uint64_t offset, const schema::LogRecord& record);
   void FinishStart();
+  void NoteFirstOffset(std::uint64_t first_offset);
   void AdoptOwnIncarnation();
   void OnViewsSet(const std::vector<schema::View>& views);
   void OnAssigned(const ServiceId& service);
@@ -206,6 +207,7 @@
   bool started_ = false;  // the end of the log was reached once
   bool reading_ = false;
   bool log_reachable_ = false;
+  bool log_reported_ = false;
   bool join_sent_ = false;
   std::uint64_t next_offset_ = 1;
   Milliseconds retention_{0};
--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -30,6 +30,7 @@
 
 void OwnershipController::Impl::On(const LogRecordRead& event) {
   if (stopped_ || event.offset < next_offset_) return;
+  NoteFirstOffset(event.first_offset);
   next_offset_ = event.offset + 1;
   if (!deduplicator_.IsFirst(event.writer, event.sequence)) return;
   if (event.writer == writer_id_) {
@@ -116,8 +117,9 @@
 void OwnershipController::Impl::On(const LogReadFinished& event) {
   reading_ = false;
   next_read_ = now_;
-  if (log_reachable_ != event.reachable) {
+  if (log_reachable_ != event.reachable || !log_reported_) {
     log_reachable_ = event.reachable;
+    log_reported_ = true;
     Emit(ReportEvent{
         event.reachable ? "log_reachable" : "log_unreachable",
         event.reachable ? ResultCode::kOk : ResultCode::kLogUnavailable,
@@ -128,15 +130,7 @@
     return;
   }
   retention_ = event.retention;
-  if (event.first_offset > next_offset_) {
-    // Records were lost to retention; the newest snapshots replace them.
-    next_offset_ = event.first_offset;
-    config_.OnTruncated();
-    started_ = false;
-    Emit(ReportEvent{"log_truncated",
-                     ResultCode::kLogTruncated,
-                     {{"first_offset", std::to_string(event.first_offset)}}});
-  }
+  NoteFirstOffset(event.first_offset);
   if (next_offset_ < event.next_offset) return;
   config_.OnReachedEnd();
   if (config_.current().version() != config_version_seen_) ConfigChanged();
@@ -144,6 +138,18 @@
   writer_.OnReachedEnd(now_);
 }
 
+void OwnershipController::Impl::NoteFirstOffset(std::uint64_t first_offset) {
+  if (first_offset <= next_offset_) return;
+  // Records were lost to retention; the newest snapshots replace them. This
+  // must be known before the records that follow are judged.
+  next_offset_ = first_offset;
+  config_.OnTruncated();
+  started_ = false;
+  Emit(ReportEvent{"log_truncated",
+                   ResultCode::kLogTruncated,
+                   {{"first_offset", std::to_string(first_offset)}}});
+}
+
 void OwnershipController::Impl::FinishStart() {
   started_ = true;
   const schema::FleetSnapshot* newest = nullptr;
@@ -158,7 +164,8 @@
   if (newest != nullptr) {
     fleet_.Merge(*newest);
     AdoptOwnIncarnation();
-    for (const auto& view : newest->views()) table_.NoteView(view);
+    // A reset among the lost records ends an older role of this router.
+    for (const auto& view : newest->views()) OnNewerView(view);
     from = newest->as_of();
   }
   const std::vector<BufferedRecord> records = std::exchange(buffered_, {});
--- a/Source/core/controller_roles.cc
+++ b/Source/core/controller_roles.cc
@@ -143,25 +143,31 @@
 
 void OwnershipController::Impl::Rebalance(const ServiceId& service,
                                           ServiceEntry* entry) {
-  const auto own = std::ranges::count_if(primaries_, [&](const auto& item) {
+  const bool own = std::ranges::any_of(primaries_, [&](const auto& item) {
     return item.second->service() == service;
   });
-  if (own == 0) return;
+  if (!own) return;
   const schema::ServiceConfig& config = *entry->config;
   const schema::PolicyConfig& policy = config_.config().policy();
-  // The service's budget is divided by the endpoints that each router plans.
-  const double per_minute = policy.churn_per_minute() * config.partitions() *
-                            static_cast<double>(own) / config.endpoints_size();
+  MovePlanInput input;
+  input.fleet = FleetLoads(config);
+  input.policy = policy;
+  input.service_partitions = config.partitions();
+  // The service's budget goes to the routers whose endpoints have load to shed.
+  double share = 0;
+  for (const auto& [endpoint, primary] : primaries_) {
+    if (primary->service() != service) continue;
+    input.self = endpoint;
+    share += BudgetShare(input);
+  }
+  const double per_minute =
+      policy.churn_per_minute() * config.partitions() * std::min(1.0, share);
   if (!entry->churn) entry->churn.emplace(per_minute, now_);
   entry->churn->set_per_minute(per_minute, now_);
   for (const auto& [endpoint, primary] : primaries_) {
     if (primary->service() != service || primary->moving() > 0) continue;
-    MovePlanInput input;
     input.self = endpoint;
     input.partition_load = primary->MovablePartitions();
-    input.fleet = FleetLoads(config);
-    input.policy = policy;
-    input.service_partitions = config.partitions();
     input.budget = entry->churn->Available(now_);
     if (input.partition_load.empty() || input.budget == 0) continue;
     const std::vector<PlannedMove> moves = PlanMoves(input);
--- a/Source/core/ownership_events.h
+++ b/Source/core/ownership_events.h
@@ -42,6 +42,8 @@
   std::uint64_t sequence = 0;
   Milliseconds age{0};
   schema::LogRecord record;
+  // Oldest offset that the log retained when the page was read; 0 if unknown.
+  std::uint64_t first_offset = 0;
 };
 
 // A read reached the end of the log, or failed (reachable = false).
--- a/Source/core/routing_table.cc
+++ b/Source/core/routing_table.cc
@@ -30,7 +30,10 @@
   const bool restarted = found == entries_.end() ||
                          found->second.routing.view().endpoint_incarnation() !=
                              routing.view().endpoint_incarnation();
-  const SteadyTime since = restarted ? now : found->second.serving_since;
+  SteadyTime since = restarted ? now : found->second.serving_since;
+  // A router that started lately sees endpoints that have served for long; a
+  // ramp for them would cut the capacity of the fleet at each restart.
+  if (found == entries_.end() && routing.revision() > 1) since = {};
   entries_[endpoint] = Entry{routing, since};
   NoteView(routing.view());
   std::vector<Fence>& epochs = highest_epochs_[routing.service()];
--- a/Source/core/transfer_sender.cc
+++ b/Source/core/transfer_sender.cc
@@ -58,6 +58,7 @@
   const std::optional<schema::View> view = context_->KnownView(target);
   if (!view) return;
   last_sent_[target] = context_->now();
+  used_terms_[target] = FromProto(view->term());
   schema::PeerMessage message = MakePeerMessage(context_->self());
   schema::Transfer* transfer = message.mutable_transfer();
   transfer->set_service(service_);
@@ -78,7 +79,11 @@
     const schema::TransferReply& reply) {
   ReplyResult result;
   if (reply.status() == schema::TRANSFER_STALE_VIEW) {
-    last_sent_.erase(reply.target_endpoint());
+    // Repeated at once only if the reply tells a later view than the one used.
+    SteadyTime& sent = last_sent_[reply.target_endpoint()];
+    const Fence term = FromProto(reply.target_view().term());
+    Fence& used = used_terms_[reply.target_endpoint()];
+    if (term > used) sent = SteadyTime{};
     return result;
   }
   for (const auto& entry : reply.partitions()) {
--- a/Source/core/transfer_sender.h
+++ b/Source/core/transfer_sender.h
@@ -58,6 +58,7 @@
   EndpointId source_;
   std::map<PartitionId, Outgoing> outgoing_;
   std::map<EndpointId, SteadyTime> last_sent_;
+  std::map<EndpointId, Fence> used_terms_;
 };
 
 }  // namespace balsamhall
--- a/Source/router/log_follower.cc
+++ b/Source/router/log_follower.cc
@@ -1,5 +1,6 @@
 #include "router/log_follower.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "telemetry/event_log.h"
@@ -7,7 +8,7 @@
 namespace balsamhall {
 namespace {
 
-constexpr std::size_t kPageEntries = 500;
+constexpr std::size_t kPageEntries = 256;
 constexpr Milliseconds kLongPoll{500};
 
 LogRecordRead Decode(const LogEntry& entry) {
@@ -30,19 +31,27 @@
 }  // namespace
 
 LogFollower::LogFollower(LogService& log, Deliver deliver)
-    : log_(log), deliver_(std::move(deliver)) {}
+    : log_(log), deliver_(std::move(deliver)), page_entries_(kPageEntries) {}
 
 void LogFollower::Read(std::uint64_t from) {
-  log_.Read(from, kPageEntries, kLongPoll,
+  log_.Read(from, page_entries_, kLongPoll,
             [this](const Result<LogPage>& page) { OnPage(page); });
 }
 
 void LogFollower::OnPage(const Result<LogPage>& page) {
   if (!page) {
+    // The page may have been too large for the client: large configurations
+    // follow each other in the log.
+    page_entries_ = std::max<std::size_t>(1, page_entries_ / 2);
     deliver_(LogReadFinished{});
     return;
   }
-  for (const LogEntry& entry : page.value().entries) deliver_(Decode(entry));
+  page_entries_ = std::min(kPageEntries, page_entries_ * 2);
+  for (const LogEntry& entry : page.value().entries) {
+    LogRecordRead read = Decode(entry);
+    read.first_offset = page.value().first_offset;
+    deliver_(read);
+  }
   LogReadFinished finished;
   finished.reachable = true;
   finished.first_offset = page.value().first_offset;
--- a/Source/router/log_follower.h
+++ b/Source/router/log_follower.h
@@ -31,6 +31,7 @@
 
   LogService& log_;
   Deliver deliver_;
+  std::size_t page_entries_;  // halved after a failed read
 };
 
 }  // namespace balsamhall
--- a/Tests/Ownership/fake_log.cc
+++ b/Tests/Ownership/fake_log.cc
@@ -27,8 +27,8 @@
     const Entry& entry = history_[offset - 1];
     const auto age =
         std::chrono::duration_cast<Milliseconds>(simulation_->now() - entry.at);
-    records.push_back(
-        {offset, entry.writer, entry.sequence, age, entry.record});
+    records.push_back({offset, entry.writer, entry.sequence, age, entry.record,
+                       FirstOffset()});
   }
   return records;
 }
