Let a join name the incarnation that it replaces

A join now counts only over the incarnation that it names, and the first of two joins of one process counts.

--- a/Source/capacity/controller_fixture.cc
+++ b/Source/capacity/controller_fixture.cc
@@ -130,6 +130,12 @@
   return read;
 }
 
+std::uint64_t ControllerFixture::IncarnationOf(const RouterId& router) const {
+  const auto routing = controller_.routing();
+  const auto found = routing->routers.find(router);
+  return found == routing->routers.end() ? 0 : found->second.incarnation;
+}
+
 schema::EndpointRouting ControllerFixture::InitialRouting(
     std::size_t endpoint) const {
   const std::size_t each = shape_.endpoints / shape_.services;
--- a/Source/capacity/controller_fixture.h
+++ b/Source/capacity/controller_fixture.h
@@ -56,6 +56,8 @@
   // Publication that adds nothing but one change of a policy.
   LogRecordRead NextPublication();
   LogRecordRead NextJoin();
+  // Incarnation of a joined router as the controller knows it.
+  std::uint64_t IncarnationOf(const RouterId& router) const;
 
   // Binds the own endpoints: heartbeats, ticks and grants for two seconds.
   void Settle();
--- a/Source/capacity/log_probes.cc
+++ b/Source/capacity/log_probes.cc
@@ -32,6 +32,8 @@
     join->set_forward_address("10.12.34.56:7002");
     join->set_control_address("10.12.34.56:7003");
     join->set_nonce(i * 0x9e3779b97f4a7c15ULL);
+    // Offsets start at 1, so the earlier join of the VM is 4,400 below.
+    join->set_replaces(i < 4400 ? 0 : i + 1 - 4400);
     records.push_back({i + 1, id + "#" + std::to_string(join->nonce()),
                        record.SerializeAsString()});
   }
@@ -87,7 +89,10 @@
     for (std::size_t i = 0; i < count; ++i) {
       // Restarts of one router leave the size of the fleet as it is.
       LogRecordRead read = fixture.NextJoin();
-      read.record.mutable_router_joined()->set_id("router-00001");
+      schema::RouterJoined* join = read.record.mutable_router_joined();
+      join->set_id("router-00001");
+      join->set_replaces(i == 0 ? fixture.IncarnationOf("router-00001")
+                                : read.offset - 1);
       records.push_back(std::move(read));
     }
     const double cpu = MicrosOf([&] {
--- a/Source/core/controller_log.cc
+++ b/Source/core/controller_log.cc
@@ -74,6 +74,11 @@
     case schema::LogRecord::kRouterJoined: {
       fleet_.OnRouterJoined(offset, record.router_joined());
       AdoptOwnIncarnation();
+      // A late join of an earlier process of this VM came first: join again.
+      if (record.router_joined().nonce() == join_.nonce() &&
+          self_.incarnation == 0) {
+        join_sent_ = false;
+      }
       break;
     }
     case schema::LogRecord::kRouterLeft:
@@ -299,6 +304,9 @@
 void OwnershipController::Impl::TickJoin() {
   if (join_sent_ || !LogUsable() || shutdown_since_) return;
   join_sent_ = true;
+  const auto known = fleet_.routers().find(self_.id);
+  join_.set_replaces(
+      known == fleet_.routers().end() ? 0 : known->second.incarnation);
   schema::LogRecord record;
   *record.mutable_router_joined() = join_;
   Append(std::move(record));
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -154,14 +154,18 @@
     // Nobody renews the lease, so the endpoint's partitions can move.
     start.evict_at = context_->now();
   }
-  for (const auto& [partition, epoch] : at_endpoint) {
+  // A repeat of an old transfer to the endpoint must not bring back a partition
+  // that is claimed elsewhere. The records name no target: the claim's owner
+  // may have moved the partition on, so nothing is to be sent to it.
+  for (const auto& [partition, claim] : claims_) {
     if (!ClaimedElsewhere(partition)) continue;
+    const auto held = at_endpoint.find(partition);
+    const Fence epoch = held == at_endpoint.end()
+                            ? claim.epoch
+                            : std::max(claim.epoch, held->second);
     schema::ReleasedPartition record;
     record.set_partition(partition);
     *record.mutable_epoch() = ToProto(epoch);
-    // A claim of the endpoint's former primary names no target yet.
-    const EndpointId& owner = claims_.at(partition).endpoint;
-    if (owner != view_.endpoint()) record.set_target_endpoint(owner);
     start.history.push_back(record);
   }
   const bool last = IsLastReset();
--- a/Source/core/fleet_register.cc
+++ b/Source/core/fleet_register.cc
@@ -7,7 +7,21 @@
 bool FleetRegister::OnRouterJoined(std::uint64_t offset,
                                    const schema::RouterJoined& join) {
   Router& router = routers_[join.id()];
+  // One process may have joined twice when the answer to its append was lost
+  // and the first record is not retained: the first record counts.
+  const bool same_process = router.incarnation > 0 && join.nonce() != 0 &&
+                            router.join.nonce() == join.nonce();
+  if (same_process) {
+    const bool earlier = offset < router.incarnation;
+    router.incarnation = std::min(router.incarnation, offset);
+    return earlier;
+  }
   if (router.incarnation >= offset) return false;
+  // An append of an earlier process of this VM can take effect late. It must
+  // not pass for a later process, which would prove the running one gone.
+  if (router.incarnation != 0 && join.replaces() != router.incarnation) {
+    return false;
+  }
   router = Router{offset, join, false};
   return true;
 }
@@ -67,8 +81,16 @@
 }
 
 void FleetRegister::Merge(const schema::FleetSnapshot& snapshot) {
+  // The writer of the snapshot has judged these joins.
   for (const auto& router : snapshot.routers()) {
-    OnRouterJoined(router.incarnation(), router.join());
+    Router& known = routers_[router.join().id()];
+    const bool same_process = router.join().nonce() != 0 &&
+                              known.join.nonce() == router.join().nonce();
+    if (same_process) {
+      known.incarnation = std::min(known.incarnation, router.incarnation());
+    } else if (known.incarnation < router.incarnation()) {
+      known = Router{router.incarnation(), router.join(), false};
+    }
   }
   for (const auto& view : snapshot.views()) {
     schema::View& known = base_views_[view.endpoint()];
