Refuse a fixed base port whose range is in use

Cause: with BALSAMHALL_BASE_PORT set, a second fleet on the same range would have talked to the processes of the first. Change: check the range before anything starts; ignore TIME_WAIT. A probe also survives a broken HTTP answer.

--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,7 +7,6 @@
 import json
 import os
 import random
-import signal
 import socket
 import subprocess
 import sys
@@ -24,24 +23,33 @@
 LOSS_TARGET_S = 2.0
 
 
+def is_free(first, count):
+    held = []
+    try:
+        for port in range(first, first + count):
+            held.append(socket.socket())
+            # Ports of an earlier run may be in TIME_WAIT.
+            held[-1].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            held[-1].bind((HOST, port))
+        return True
+    except OSError:
+        return False
+    finally:
+        for item in held:
+            item.close()
+
+
 def free_range(count):
     """Returns the first port of a range in which every port is free now."""
     fixed = os.environ.get("BALSAMHALL_BASE_PORT")
     if fixed:
+        if not is_free(int(fixed), count):
+            sys.exit(f"ports {fixed} to {int(fixed) + count - 1} are not free")
         return int(fixed)
     for _ in range(100):
         first = random.randrange(20000, 32000 - count)
-        held = []
-        try:
-            for port in range(first, first + count):
-                held.append(socket.socket())
-                held[-1].bind((HOST, port))
+        if is_free(first, count):
             return first
-        except OSError:
-            continue
-        finally:
-            for item in held:
-                item.close()
     sys.exit("no free range of ports")
 
 
@@ -269,9 +277,11 @@
                 connection = http.client.HTTPConnection(
                     HOST, self.control(i), timeout=1)
                 connection.request("GET", "/ready")
-                if connection.getresponse().status == 200:
+                status = connection.getresponse().status
+                connection.close()
+                if status == 200:
                     return True
-            except OSError:
+            except (OSError, http.client.HTTPException):
                 pass
             time.sleep(0.1)
         return False
@@ -300,7 +310,7 @@
                 reply.read()
                 if reply.getheader("Balsamhall-Code") == "0":
                     self.served.append((sent, time.time()))
-            except OSError:
+            except (OSError, http.client.HTTPException):
                 pass
             connection.close()
             time.sleep(0.02)
