Give the endpoint of a reset its history, and block only older epochs

History goes to the endpoint with the first grant, only epochs below the claim are blocked, and a process that left may be replaced.

--- a/Source/core/endpoint_primary.cc
+++ b/Source/core/endpoint_primary.cc
@@ -28,6 +28,8 @@
   for (const auto& record : start.history) {
     history_[record.partition()] = record;
   }
+  // A later primary learns from the endpoint what is owned elsewhere.
+  send_history_ = start.replace_all;
   if (evict_at_) {
     phase_ = Phase::kEvicting;
     lease_bound_ = *evict_at_;
@@ -68,7 +70,6 @@
     start.partitions[held.partition()] = FromProto(held.epoch());
   }
   EndpointPrimary primary(context, std::move(start));
-  primary.send_history_ = true;
   primary.ResumeTransfers(state, context->now());
   return primary;
 }
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -1,6 +1,7 @@
 #include "core/endpoint_reset.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 
 namespace balsamhall {
@@ -8,6 +9,13 @@
 
 constexpr Milliseconds kRepeatInterval{200};
 
+// Returns the highest fence below. A partition on its way is claimed under the
+// epoch that its next owner gets, which may be the endpoint of the reset.
+Fence Predecessor(const Fence& fence) {
+  if (fence.counter > 0) return {fence.offset, fence.counter - 1};
+  return {fence.offset - 1, std::numeric_limits<std::uint32_t>::max()};
+}
+
 }  // namespace
 
 EndpointReset::EndpointReset(ControlContext* context, ServiceId service,
@@ -160,9 +168,9 @@
   for (const auto& [partition, claim] : claims_) {
     if (!ClaimedElsewhere(partition)) continue;
     const auto held = at_endpoint.find(partition);
-    const Fence epoch = held == at_endpoint.end()
-                            ? claim.epoch
-                            : std::max(claim.epoch, held->second);
+    const Fence before = Predecessor(claim.epoch);
+    const Fence epoch =
+        held == at_endpoint.end() ? before : std::max(before, held->second);
     schema::ReleasedPartition record;
     record.set_partition(partition);
     *record.mutable_epoch() = ToProto(epoch);
--- a/Source/core/fleet_register.cc
+++ b/Source/core/fleet_register.cc
@@ -19,7 +19,9 @@
   if (router.incarnation >= offset) return false;
   // An append of an earlier process of this VM can take effect late. It must
   // not pass for a later process, which would prove the running one gone.
-  if (router.incarnation != 0 && join.replaces() != router.incarnation) {
+  // A process that left is not in snapshots, so a later one may not know it.
+  if (router.incarnation != 0 && !router.left &&
+      join.replaces() != router.incarnation) {
     return false;
   }
   router = Router{offset, join, false};
