Let releases wait for running work, and doubt many failures at once

Change: releases have 1.2 s and their silence is no failure; beyond a third of the endpoints only the registry decides; the table goes to eight renewers, and only after a release stayed unanswered; a grant that was not sent, or was answered, no longer stretches the wait for its lease.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -85,7 +85,8 @@
   void Report();
   void Do(LeaseKeeper& keeper, const LeaseAction& action);
   void SendCall(LeaseKeeper& keeper, std::uint64_t call,
-                const std::string& address, HttpRequest request);
+                const std::string& address, HttpRequest request,
+                Milliseconds timeout);
   void OnPeerRequest(const HttpRequest& request,
                      const HttpServer::Respond& respond);
   void AskPeer();
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -144,9 +144,10 @@
 }
 
 void Gateway::Impl::SendCall(LeaseKeeper& keeper, std::uint64_t call,
-                             const std::string& address, HttpRequest request) {
+                             const std::string& address, HttpRequest request,
+                             Milliseconds timeout) {
   ClientOf(call_clients_, address)
-      .Send(std::move(request), LeaseKeeper::kCallTimeout,
+      .Send(std::move(request), timeout,
             [this, &keeper, call](const HttpClient::Outcome& outcome) {
               BackendDialect::CallAnswer answer;
               if (outcome.response) {
@@ -183,11 +184,11 @@
           },
           [&](const GrantCall& grant) {
             SendCall(keeper, grant.call, grant.to.address,
-                     dialect_.ToGrant(grant));
+                     dialect_.ToGrant(grant), LeaseKeeper::kCallTimeout);
           },
           [&](const ReleaseCall& release) {
             SendCall(keeper, release.call, release.from.address,
-                     dialect_.ToRelease(release));
+                     dialect_.ToRelease(release), LeaseKeeper::kReleaseTimeout);
           },
           [&](const PublishTable& publish) {
             const std::string target = "/table/" + publish.table.service + "/" +
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -1,6 +1,7 @@
 #include "gateway/lease_keeper.h"
 
 #include <algorithm>
+#include <functional>
 #include <iterator>
 #include <ranges>
 
@@ -22,7 +23,6 @@
 constexpr Milliseconds kQuietRegistry{1'000};
 constexpr Milliseconds kPlanInterval{1'000};
 constexpr Milliseconds kUrgentPlanInterval{50};
-constexpr std::size_t kMovesPerPlan = 4;
 // Requests that have to be seen before load decides; fewer say little.
 constexpr double kMinPlanLoad = 60;
 // Failed calls in a row, and their span, after which an endpoint is taken as
@@ -30,8 +30,15 @@
 constexpr int kLostAfterFailures = 4;
 constexpr Milliseconds kLostAfter{900};
 constexpr Milliseconds kLostFor{5'000};
+// Endpoints seldom fail together. If more than this share of them (and more
+// than one) does not answer, the fault is taken to be on this side, and only
+// the registry decides.
+constexpr double kMostLost = 1.0 / 3;
 constexpr Milliseconds kPublishInterval{250};
-constexpr std::size_t kMaxRenewers = 16;
+// A move away from a silent endpoint has to reach every renewer with the whole
+// table, so their number is a cost; eight outlive the loss of any half of the
+// fleet in all but one case of 256.
+constexpr std::size_t kMaxRenewers = 8;
 constexpr Milliseconds kRenewersInterval{4'000};
 constexpr Milliseconds kConfirmTogether{250};
 // Usual time of a move whose old holder answers.
@@ -82,7 +89,12 @@
     });
   });
   std::erase_if(calls_, [this](const auto& entry) {
-    return !progress_.contains({entry.second.fence, entry.second.range.first});
+    const Call& call = entry.second;
+    if (progress_.contains({call.lease.fence, call.lease.range.first})) {
+      return false;
+    }
+    NoteLeaseEnd(call.lease.owner.ref, call.lease_end);
+    return true;
   });
 }
 
@@ -128,13 +140,26 @@
       now - std::max(started_, last_renewal_));
 }
 
+void LeaseKeeper::NoteLeaseEnd(const EndpointRef& endpoint, BootTime end) {
+  if (end == BootTime{}) return;
+  BootTime& known = lease_end_[endpoint];
+  known = std::max(known, end);
+}
+
+BootTime LeaseKeeper::OwnLeaseEnd(const EndpointRef& endpoint) const {
+  const auto known = lease_end_.find(endpoint);
+  BootTime end = known == lease_end_.end() ? BootTime{} : known->second;
+  for (const Call& call : calls_ | std::views::values) {
+    if (call.lease.owner.ref == endpoint) end = std::max(end, call.lease_end);
+  }
+  return end;
+}
+
 void LeaseKeeper::SendGrant(const RangeLease& lease, Progress& progress,
                             BootTime now, std::vector<LeaseAction>& actions) {
   progress.call = ++last_call_;
   progress.releasing = false;
-  calls_[progress.call] = lease;
-  BootTime& end = lease_end_[lease.owner.ref];
-  end = std::max(end, now + kCallTimeout + LongestLease());
+  calls_[progress.call] = {lease, now + kCallTimeout + LongestLease()};
   last_renewal_ = now;
   actions.emplace_back(GrantCall{progress.call, lease.owner, lease.range,
                                  lease.fence, kLease, progress.handover});
@@ -154,31 +179,46 @@
   }
 }
 
+void LeaseKeeper::CountFailure(const EndpointRef& endpoint, BootTime now) {
+  Failures& failures = failures_[endpoint];
+  if (failures.count++ == 0) failures.since = now;
+  if (failures.count >= kLostAfterFailures &&
+      now - failures.since >= kLostAfter && failures.until < now) {
+    failures.until = now + kLostFor;
+    next_plan_ = now;
+    Note("endpoint_unreachable", endpoint.ToString() + ", " +
+                                     std::to_string(failures.count) +
+                                     " calls failed");
+  }
+}
+
 void LeaseKeeper::OnCall(std::uint64_t call, CallOutcome outcome,
                          std::string handover, BootTime now) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
-  const RangeLease lease = found->second;
+  const auto [lease, lease_end] = found->second;
   calls_.erase(found);
+  const bool done = outcome == CallOutcome::kDone;
+  // A lease runs from the arrival of its grant, which was before the answer.
+  if (done) {
+    NoteLeaseEnd(lease.owner.ref, std::min(lease_end, now + LongestLease()));
+  } else if (outcome == CallOutcome::kUnanswered) {
+    NoteLeaseEnd(lease.owner.ref, lease_end);
+  }
   Progress& progress = ProgressOf(lease);
   if (progress.call != call) return;
   progress.call = 0;
-  const bool done = outcome == CallOutcome::kDone;
-  Failures& failures =
-      failures_[progress.releasing ? lease.previous.ref : lease.owner.ref];
+  const EndpointRef& called =
+      progress.releasing ? lease.previous.ref : lease.owner.ref;
   if (done || outcome == CallOutcome::kRefused) {
-    failures = {};
+    failures_[called] = {};
   } else {
-    if (failures.count++ == 0) failures.since = now;
-    if (failures.count >= kLostAfterFailures &&
-        now - failures.since >= kLostAfter && failures.until < now) {
-      failures.until = now + kLostFor;
-      next_plan_ = now;
-      Note("endpoint_unreachable",
-           (progress.releasing ? lease.previous.ref : lease.owner.ref)
-               .ToString());
-    }
     progress.next_call = now + kRetryCall;
+    // A release waits for work to end: its silence says nothing.
+    const bool slow_release =
+        progress.releasing && outcome == CallOutcome::kUnanswered;
+    if (!slow_release) CountFailure(called, now);
+    if (progress.releasing) progress.release_failed = true;
   }
   if (progress.releasing) {
     if (done) {
@@ -205,10 +245,9 @@
 }
 
 BootTime LeaseKeeper::PreviousEnd(const LeaseHolder& previous) const {
-  const auto own = lease_end_.find(previous.ref);
   // An earlier process of this router may have sent leases until it ended.
-  BootTime end = started_ + kCallTimeout + LongestLease();
-  if (own != lease_end_.end()) end = std::max(end, own->second);
+  BootTime end = std::max(started_ + kCallTimeout + LongestLease(),
+                          OwnLeaseEnd(previous.ref));
   for (const LeaseRenewer& renewer : table_.renewers) {
     if (renewer == self_) continue;
     const auto adoption = adoptions_.find(renewer.id);
@@ -239,16 +278,18 @@
 void LeaseKeeper::MoveRange(const RangeLease& lease, BootTime now,
                             std::vector<LeaseAction>& actions) {
   Progress& progress = ProgressOf(lease);
-  if (progress.call != 0 || progress.granted || progress.refused ||
-      now < progress.next_call) {
-    return;
-  }
+  if (progress.granted || progress.refused) return;
+  const bool releasing = progress.call != 0 && progress.releasing;
+  if ((progress.call != 0 && !releasing) || now < progress.next_call) return;
   if (PreviousIsGone(lease, progress, now)) {
+    // The answer to a release under way is not needed any more.
+    calls_.erase(progress.call);
     return SendGrant(lease, progress, now, actions);
   }
+  if (releasing) return;
   progress.call = ++last_call_;
   progress.releasing = true;
-  calls_[progress.call] = lease;
+  calls_[progress.call] = {lease, BootTime{}};
   actions.emplace_back(
       ReleaseCall{progress.call, lease.previous, lease.range, lease.fence});
 }
@@ -266,7 +307,7 @@
   const bool stuck =
       std::ranges::any_of(table_.ranges, [&](const RangeLease& lease) {
         return !lease.granted && !lease.previous.ref.empty() &&
-               !ProgressOf(lease).released && now - table_since_ > kUsualMove;
+               !ProgressOf(lease).released && ProgressOf(lease).release_failed;
       });
   if (!stuck) return;
   next_publish_ = now + kPublishInterval;
@@ -382,16 +423,30 @@
   return changed && Append(std::move(next), now, actions);
 }
 
+std::vector<PlannedEndpoint> LeaseKeeper::UsableEndpoints(BootTime now) {
+  const auto lost = [&](const PlannedEndpoint& endpoint) {
+    const auto failed = failures_.find(endpoint.holder.ref);
+    return failed != failures_.end() && failed->second.until > now;
+  };
+  const auto count = std::ranges::count_if(endpoints_, lost);
+  const bool many =
+      count > 1 && static_cast<double>(count) >
+                       kMostLost * static_cast<double>(endpoints_.size());
+  if (std::exchange(many_unreachable_, many) != many) {
+    Note(many ? "many_unreachable" : "few_unreachable",
+         std::to_string(count) + " of " + std::to_string(endpoints_.size()));
+  }
+  if (many) return endpoints_;
+  std::vector<PlannedEndpoint> usable;
+  std::ranges::copy_if(endpoints_, std::back_inserter(usable),
+                       std::not_fn(lost));
+  return usable;
+}
+
 bool LeaseKeeper::PlanChanges(BootTime now, std::vector<LeaseAction>& actions) {
   if (now < next_plan_) return false;
   next_plan_ = now + kPlanInterval;
-  std::vector<PlannedEndpoint> usable;
-  std::ranges::copy_if(
-      endpoints_, std::back_inserter(usable),
-      [&](const PlannedEndpoint& endpoint) {
-        const auto failed = failures_.find(endpoint.holder.ref);
-        return failed == failures_.end() || failed->second.until <= now;
-      });
+  const auto usable = UsableEndpoints(now);
   if (usable.empty()) return false;
   // A range that is on its way can be given to another endpoint only when its
   // earlier holder is out of the way.
@@ -412,8 +467,8 @@
   }
   const auto sums = load_.PrefixSums(now);
   const bool balance = load_.Total(now) >= kMinPlanLoad;
-  const auto moves =
-      PlanMoves(plannable, usable, sums, balance ? kMovesPerPlan : 0);
+  const auto moves = PlanMoves(plannable, usable, sums,
+                               balance ? MovesPerPlan(usable.size()) : 0);
   if (moves.empty()) return false;
 
   LeaseTable next = table_;
@@ -429,8 +484,7 @@
       const bool lost = std::ranges::none_of(
           usable, [&](const auto& e) { return e.holder == from->owner; });
       if (lost) {
-        const auto known = lease_end_.find(from->owner.ref);
-        const auto end = known == lease_end_.end() ? now : known->second;
+        const auto end = OwnLeaseEnd(from->owner.ref);
         lease.expected_wait = std::max(
             kUsualMove, std::chrono::duration_cast<Milliseconds>(end - now));
       }
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -80,9 +80,11 @@
   static constexpr Milliseconds kLease{4'000};
   // A view confirmed by the store allows renewals for this long.
   static constexpr Milliseconds kAuthority{16'000};
-  // Grants and releases are given up, and their connections reset, after this
-  // time.
+  // Grants are given up, and their connections reset, after this time.
   static constexpr Milliseconds kCallTimeout{400};
+  // An endpoint answers a release when its running work on the keys has ended:
+  // up to a second on the users' sheets.
+  static constexpr Milliseconds kReleaseTimeout{1'200};
 
   // What keeps a key with one holder. Tests remove one at a time to show that
   // their checks notice.
@@ -141,8 +143,9 @@
     bool releasing = false;  // what the call is
     BootTime next_call;
     bool released = false;
-    bool granted = false;  // now known to the endpoint under this fence
-    bool refused = false;  // a higher fence was seen
+    bool release_failed = false;  // a release stayed without an answer
+    bool granted = false;         // now known to the endpoint under this fence
+    bool refused = false;         // a higher fence was seen
     std::string handover;
   };
   struct Adoption {
@@ -164,6 +167,10 @@
   bool PreviousIsGone(const RangeLease& lease, const Progress& progress,
                       BootTime now) const;
   BootTime PreviousEnd(const LeaseHolder& previous) const;
+  BootTime OwnLeaseEnd(const EndpointRef& endpoint) const;
+  void CountFailure(const EndpointRef& endpoint, BootTime now);
+  void NoteLeaseEnd(const EndpointRef& endpoint, BootTime end);
+  std::vector<PlannedEndpoint> UsableEndpoints(BootTime now);
   void PublishIfNeeded(BootTime now, std::vector<LeaseAction>& actions);
   bool Append(LeaseTable next, BootTime now, std::vector<LeaseAction>& actions);
   bool TakeOver(BootTime now, std::vector<LeaseAction>& actions);
@@ -194,9 +201,13 @@
   BootTime next_publish_;
   BootTime next_renewers_;
   std::map<RangeKey, Progress> progress_;
-  std::map<std::uint64_t, RangeLease> calls_;
+  struct Call {
+    RangeLease lease;
+    BootTime lease_end;  // of a grant: latest end of the lease it may begin
+  };
+  std::map<std::uint64_t, Call> calls_;
   std::uint64_t last_call_ = 0;
-  // Latest time at which a lease sent by this router may run, by endpoint.
+  // Latest time at which a lease of an ended call may run, by endpoint.
   std::map<EndpointRef, BootTime> lease_end_;
   struct Failures {
     int count = 0;
@@ -204,6 +215,7 @@
     BootTime until;  // not planned for until then
   };
   std::map<EndpointRef, Failures> failures_;
+  bool many_unreachable_ = false;
   std::map<RouterId, Adoption> adoptions_;
   BootTime last_renewal_;
   KeyLoad load_;
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -268,10 +268,11 @@
   void DoRelease(std::size_t index, const ReleaseCall& release) {
     if (!Reachable(index, release.from)) {
       return Answer(index, release.call, CallOutcome::kUnanswered,
-                    LeaseKeeper::kCallTimeout);
+                    LeaseKeeper::kReleaseTimeout);
     }
     const bool late = Chance(late_orders_);
-    After(late ? Between(2'000, 12'000) : Between(1, 300),
+    // Running work on the keys has to end first.
+    After(late ? Between(2'000, 12'000) : Between(1, 1'000),
           [this, index, release, late] {
             SimulatedEndpoint& endpoint = EndpointAt(release.from);
             if (endpoint.up) endpoint.Release(release);
@@ -282,7 +283,7 @@
           });
     if (late) {
       Answer(index, release.call, CallOutcome::kUnanswered,
-             LeaseKeeper::kCallTimeout);
+             LeaseKeeper::kReleaseTimeout);
     }
   }
 
