Take an address that went to a later endpoint as proof that the earlier one ended

Change: entries tell which endpoint answers at an address, the latest life of a configured service; an earlier one gets no requests, no renewals, and its keys move at once. Tests: a_holder_that_ended_is_not_waited_for, address_holders.

--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -17,6 +17,18 @@
 
 }  // namespace
 
+std::map<std::string, EndpointRef> AddressHolders(
+    const std::map<EndpointId, EndpointInfo>& endpoints,
+    const std::map<ServiceId, ServiceSpec>& services) {
+  std::map<std::string, EndpointRef> holders;
+  for (const auto& endpoint : endpoints | std::views::values) {
+    if (!services.contains(endpoint.service)) continue;
+    EndpointRef& holder = holders[endpoint.address];
+    if (holder.incarnation <= endpoint.ref.incarnation) holder = endpoint.ref;
+  }
+  return holders;
+}
+
 bool EndpointRegistry::HoldRemovals(SteadyTime now) const {
   return store_away_ || (store_back_ && now < *store_back_ + kLapseGrace);
 }
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -13,6 +13,13 @@
 
 namespace balsamhall::gateway {
 
+// Which endpoint answers at each address: of several entries with the same one,
+// the latest life. Entries of services that are not configured prove nothing
+// and are left out.
+std::map<std::string, EndpointRef> AddressHolders(
+    const std::map<EndpointId, EndpointInfo>& endpoints,
+    const std::map<ServiceId, ServiceSpec>& services);
+
 // Entries lapse while the store is away although their endpoints live. Such a
 // removal takes effect only if the entry is still missing some time after the
 // store has come back. Any other removal, and a drain, takes effect at once.
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -77,6 +77,8 @@
   void TakeTable(LeaseTable table, const char* source);
   void ShowTable(LeaseKeeper& keeper, const char* source);
   std::vector<PlannedEndpoint> KeyHolders(const ServiceId& service) const;
+  std::vector<EndpointInfo> LiveEndpoints() const;
+  void ShowEndpoints();
   bool DividedByKey(const ServiceId& service) const;
   bool UsesLeases() const;
 
@@ -119,6 +121,7 @@
   Metrics metrics_;
   Forwarder forwarder_;
   EndpointRegistry registry_;
+  std::map<std::string, EndpointRef> address_holders_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<ServiceId, std::unique_ptr<LeaseKeeper>> keepers_;
   std::map<ServiceId, std::uint64_t> shown_versions_;
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -35,7 +35,7 @@
     const ServiceId& service) const {
   const auto capacities = forwarder_.Capacities(service);
   std::vector<PlannedEndpoint> holders;
-  for (const auto& endpoint : registry_.endpoints() | std::views::values) {
+  for (const auto& endpoint : LiveEndpoints()) {
     if (endpoint.service != service || endpoint.draining) continue;
     const auto learned = capacities.find(endpoint.ref);
     holders.push_back({{endpoint.ref, endpoint.address},
@@ -64,6 +64,7 @@
     const BootTime now = BootClock::now();
     keeper->OnStore(!store_away_, now);
     keeper->OnDuty(on_duty_);
+    keeper->OnAddresses(address_holders_);
     keeper->OnEndpoints(KeyHolders(service), now);
     std::vector<LeaseRenewer> routers;
     std::ranges::copy(routers_ | std::views::values,
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -124,6 +124,7 @@
   routes_ = std::make_shared<const RouteTable>(std::move(config.value()));
   ApplyLimits();
   forwarder_.SetRoutes(routes_);
+  ShowEndpoints();
   for (const auto& name : routes_->config().services | std::views::keys) {
     if (DividedByKey(name)) ShowTable(Keeper(name), "config");
   }
@@ -181,13 +182,39 @@
               {"address", change.endpoint.address},
               {"data_centre", change.endpoint.data_centre}});
   }
-  std::vector<EndpointInfo> endpoints;
-  std::ranges::copy(registry_.endpoints() | std::views::values,
-                    std::back_inserter(endpoints));
-  forwarder_.SetEndpoints(endpoints);
+  ShowEndpoints();
   AnswerHeldQuestions(true);
+}
+
+// Entries without those whose address has gone to a later endpoint.
+std::vector<EndpointInfo> Gateway::Impl::LiveEndpoints() const {
+  std::vector<EndpointInfo> live;
+  std::ranges::copy_if(
+      registry_.endpoints() | std::views::values, std::back_inserter(live),
+      [this](const EndpointInfo& endpoint) {
+        const auto holder = address_holders_.find(endpoint.address);
+        return holder == address_holders_.end() ||
+               holder->second.incarnation <= endpoint.ref.incarnation;
+      });
+  return live;
+}
+
+// Hands the registered endpoints to those that decide.
+void Gateway::Impl::ShowEndpoints() {
+  if (routes_) {
+    address_holders_ =
+        AddressHolders(registry_.endpoints(), routes_->config().services);
+  }
+  const auto live = LiveEndpoints();
+  if (live.size() != registry_.endpoints().size()) {
+    LogState("endpoints_replaced",
+             {{"count",
+               std::to_string(registry_.endpoints().size() - live.size())}});
+  }
+  forwarder_.SetEndpoints(live);
   const BootTime now = BootClock::now();
   for (auto& [service, keeper] : keepers_) {
+    keeper->OnAddresses(address_holders_);
     keeper->OnEndpoints(KeyHolders(service), now);
   }
 }
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -169,7 +169,7 @@
                         std::vector<LeaseAction>& actions) {
   if (!MayRenew(now)) return;
   for (const RangeLease& lease : table_.ranges) {
-    if (!lease.granted) continue;
+    if (!lease.granted || HasEnded(lease.owner)) continue;
     Progress& progress = ProgressOf(lease);
     if (progress.call != 0 || progress.refused || now < progress.next_call) {
       continue;
@@ -261,17 +261,25 @@
   return end;
 }
 
-bool LeaseKeeper::PreviousIsGone(const RangeLease& lease,
-                                 const Progress& progress, BootTime now) const {
-  if (lease.previous.ref.empty() || progress.released) return true;
-  // Another life under the same id proves that the earlier one has ended.
+// Another life under its id, or a later endpoint at its address, proves that a
+// holder has ended.
+bool LeaseKeeper::HasEnded(const LeaseHolder& holder) const {
+  const auto later = [&](const EndpointRef& ref) {
+    return ref.incarnation > holder.ref.incarnation;
+  };
   const bool reborn =
       std::ranges::any_of(endpoints_, [&](const PlannedEndpoint& endpoint) {
-        const EndpointRef& ref = endpoint.holder.ref;
-        return ref.id == lease.previous.ref.id &&
-               ref.incarnation > lease.previous.ref.incarnation;
+        return endpoint.holder.ref.id == holder.ref.id &&
+               later(endpoint.holder.ref);
       });
-  return reborn || !guards_.wait_for_old_leases ||
+  const auto successor = addresses_.find(holder.address);
+  return reborn || (successor != addresses_.end() && later(successor->second));
+}
+
+bool LeaseKeeper::PreviousIsGone(const RangeLease& lease,
+                                 const Progress& progress, BootTime now) const {
+  return lease.previous.ref.empty() || progress.released ||
+         HasEnded(lease.previous) || !guards_.wait_for_old_leases ||
          now >= PreviousEnd(lease.previous);
 }
 
@@ -483,7 +491,7 @@
       if (lease.previous == lease.owner) lease.previous = {};
       const bool lost = std::ranges::none_of(
           usable, [&](const auto& e) { return e.holder == from->owner; });
-      if (lost) {
+      if (lost && !HasEnded(from->owner)) {
         const auto end = OwnLeaseEnd(from->owner.ref);
         lease.expected_wait = std::max(
             kUsualMove, std::chrono::duration_cast<Milliseconds>(end - now));
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -113,6 +113,10 @@
   void OnRouters(std::vector<LeaseRenewer> routers);
   // The endpoints that may hold keys.
   void OnEndpoints(std::vector<PlannedEndpoint> endpoints, BootTime now);
+  // Which endpoint, of any service, answers at each address.
+  void OnAddresses(std::map<std::string, EndpointRef> holders) {
+    addresses_ = std::move(holders);
+  }
   void OnAppend(AppendOutcome outcome, BootTime now);
   void OnCall(std::uint64_t call, CallOutcome outcome, std::string handover,
               BootTime now);
@@ -166,6 +170,7 @@
                  std::vector<LeaseAction>& actions);
   bool PreviousIsGone(const RangeLease& lease, const Progress& progress,
                       BootTime now) const;
+  bool HasEnded(const LeaseHolder& holder) const;
   BootTime PreviousEnd(const LeaseHolder& previous) const;
   BootTime OwnLeaseEnd(const EndpointRef& endpoint) const;
   void CountFailure(const EndpointRef& endpoint, BootTime now);
@@ -197,6 +202,7 @@
   std::vector<LeaseRenewer> routers_;
   std::vector<PlannedEndpoint> endpoints_;
   BootTime endpoints_changed_;
+  std::map<std::string, EndpointRef> addresses_;
   BootTime next_plan_;
   BootTime next_publish_;
   BootTime next_renewers_;
--- a/Tests/Gateway/decisions_test.cc
+++ b/Tests/Gateway/decisions_test.cc
@@ -155,6 +155,32 @@
   BOOST_TEST(registry.endpoints().size() == 1U);
 }
 
+struct AddressCase {
+  const char* name;
+  const char* service;  // of the other entry at the address
+  std::int64_t incarnation;
+  const char* holder;
+};
+
+std::ostream& operator<<(std::ostream& out, const AddressCase& c) {
+  return out << c.name;
+}
+
+const AddressCase kAddresses[] = {
+    {"a later endpoint", "other", 2, "f"},
+    {"an earlier endpoint whose entry still stands", "other", 0, "e"},
+    {"an entry of a service that nobody configured", "unknown", 2, "e"},
+};
+
+BOOST_DATA_TEST_CASE(address_holders, data::make(kAddresses), address) {
+  EndpointInfo other = Endpoint("f");
+  other.service = address.service;
+  other.ref.incarnation = address.incarnation;
+  const auto holders = AddressHolders({{"e", Endpoint("e")}, {"f", other}},
+                                      {{"service", {}}, {"other", {}}});
+  BOOST_TEST(holders.at("10.0.0.1:80").id == address.holder);
+}
+
 LeaseHolder Holder(int number) {
   const std::string id = "e" + std::to_string(number);
   return {{id, 1}, id + ":80"};
--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -158,11 +158,37 @@
   BOOST_TEST(granted->count() <= move.latest.count());
 }
 
-BOOST_AUTO_TEST_CASE(a_new_life_of_the_old_holder_ends_the_wait) {
+struct EndedCase {
+  const char* name;
+  EndpointRef successor;
+  std::string address;
+  bool ended;
+};
+
+std::ostream& operator<<(std::ostream& out, const EndedCase& c) {
+  return out << c.name;
+}
+
+const EndedCase kEnded[] = {
+    {"a new life of the old holder", {"old", 2}, "old:1", true},
+    {"a later endpoint at its address", {"other", 2}, "old:1", true},
+    {"an earlier endpoint at its address", {"other", 0}, "old:1", false},
+    {"a later endpoint elsewhere", {"other", 2}, "other:1", false},
+};
+
+// Found on stasimo-gw-grown trouble-1: 41 endpoints ended and their addresses
+// went to another service, but their keys waited for leases of seven seconds.
+BOOST_DATA_TEST_CASE(a_holder_that_ended_is_not_waited_for, data::make(kEnded),
+                     ended) {
   LeaseKeeper keeper = Keeper(kMover, false);
   keeper.OnDuty(true);
-  keeper.OnEndpoints({{kNew, 2}, {{{"old", 2}, "old:1"}, 2}}, kStart);
-  BOOST_TEST(Only<GrantCall>(keeper.Tick(kStart)).size() == 1U);
+  if (ended.successor.id == "old") {
+    keeper.OnEndpoints({{kNew, 2}, {{ended.successor, ended.address}, 2}},
+                       kStart);
+  }
+  keeper.OnAddresses({{ended.address, ended.successor}});
+  BOOST_TEST(Only<GrantCall>(keeper.Tick(kStart)).size() ==
+             (ended.ended ? 1U : 0U));
 }
 
 BOOST_AUTO_TEST_CASE(a_refused_grant_is_not_repeated_with_its_fence) {
