Start by learning from the gateway that reads the store

Change: a gateway reads the list of gateways first, then follows the one of its data centre that reads for all; it reads for itself if that one does not answer within 1.2 s, or if the list is not there within 0.5 s. Questions to a gateway that is starting itself are held until it knows something. Test: a_start_spares_the_store (four whole reads before, one now; with the reader gone four, ready within two seconds).

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -128,6 +128,9 @@
   std::string config_text_;
   std::uint64_t registry_offset_ = 0;
   std::map<RouterId, LeaseRenewer> routers_;
+  bool routers_known_ = false;  // the store told them once
+  // Whether this gateway reads the store's logs itself.
+  bool reads_store_ = false;
   // The gateway through which this one learns from the store, if any.
   RouterId reader_;
   std::map<RouterId, BootTime> avoided_readers_;
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -104,7 +104,7 @@
 void Gateway::Impl::Join() {
   Every(join_timer_, kJoinInterval, [this] { Join(); });
   // A gateway that does not read the store itself takes no duty.
-  if (!UsesLeases() || stopping_ || !reader_.empty()) return;
+  if (!UsesLeases() || stopping_ || !reads_store_) return;
   store_.JoinMovers(settings_.id, kJoinTimeToLive, [this](GroupAnswer answer) {
     if (stopping_) return;
     OnStoreAnswer(answer.reached, "join");
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -16,6 +16,8 @@
 constexpr Milliseconds kHoldQuestion{1'000};
 constexpr Milliseconds kFollowPause{80};
 constexpr Milliseconds kNoReaderPause{1'000};
+// How long a starting gateway waits for the one that reads the store for it.
+constexpr Milliseconds kStartPatience{1'200};
 // A reader that did not answer is not followed for this time.
 constexpr Milliseconds kAvoidReader{5'000};
 constexpr Milliseconds kEndpointConnectTimeout{250};
@@ -110,7 +112,9 @@
 PeerQuestion Gateway::Impl::OwnQuestion(bool hold) const {
   PeerQuestion question;
   question.config_version = routes_ ? routes_->config().version : 0;
-  question.endpoints_digest = EndpointsDigest(registry_.endpoints());
+  // 0 asks for any listing, also for an empty one.
+  question.endpoints_digest =
+      registry_.loaded() ? EndpointsDigest(registry_.endpoints()) : 0;
   for (const auto& keeper : keepers_ | std::views::values) {
     question.leases_end =
         std::max(question.leases_end, keeper->table().version);
@@ -160,6 +164,11 @@
                    : Result<PeerState>(Error{ResultCode::kPeerUnreachable,
                                              outcome.error.detail});
   if (!state || !state.value().store_reachable || stopping_) {
+    // Gateways that start together are not all up at once.
+    const bool starting = !reads_store_ && reader_.empty() && !stopping_ &&
+                          BootClock::now() - started_ < kStartPatience;
+    if (starting)
+      return Every(follow_timer_, kFollowPause, [this] { Follow(); });
     avoided_readers_[reader.id] = BootClock::now() + kAvoidReader;
     ReadDirectly(state ? "reader without store" : state.error().detail);
     return Every(follow_timer_, kFollowPause, [this] { Follow(); });
@@ -168,6 +177,7 @@
   TakePeerState(std::move(state.value()), as_of);
   if (!on_duty_ && std::exchange(reader_, reader.id) != reader.id) {
     LogState("following", {{"reader", reader.id}});
+    reads_store_ = false;
     for (const auto* follower :
          {&config_follower_, &registry_follower_, &leases_follower_}) {
       (*follower)->Pause();
@@ -177,7 +187,7 @@
 }
 
 void Gateway::Impl::ReadDirectly(std::string_view reason) {
-  if (reader_.empty()) return;
+  if (std::exchange(reads_store_, true)) return;
   LogState("reading_directly",
            {{"before", reader_}, {"reason", std::string(reason)}});
   reader_.clear();
@@ -186,11 +196,13 @@
   leases_follower_->Resume();
 }
 
-// all: also those whose time is not over.
+// all: also those whose time is not over. While nothing is known yet, only the
+// end of the time ends the wait.
 void Gateway::Impl::AnswerHeldQuestions(bool all) {
+  const bool known = registry_.loaded() && routes_ != nullptr;
   const BootTime now = BootClock::now();
   for (HeldQuestion& held : std::exchange(held_questions_, {})) {
-    if (all || held.until <= now) {
+    if ((all && (known || store_failures_ > 0)) || held.until <= now) {
       held.respond(AnswerPeer(held.question));
     } else {
       held_questions_.push_back(std::move(held));
@@ -202,7 +214,7 @@
   PeerState state;
   // What was learned from a third gateway is not passed on.
   state.store_reachable =
-      store_failures_ == 0 && registry_.loaded() && reader_.empty();
+      store_failures_ == 0 && registry_.loaded() && reads_store_;
   if (routes_ && routes_->config().version > question.config_version) {
     state.config = config_text_;
   }
@@ -243,11 +255,12 @@
 void Gateway::Impl::OnPeerRequest(const HttpRequest& request,
                                   const HttpServer::Respond& respond) {
   if (const auto question = ParsePeerQuestion(request.target)) {
-    const bool news =
-        store_failures_ > 0 || !reader_.empty() || !registry_.loaded() ||
-        OwnQuestion(false) != PeerQuestion{question->config_version,
-                                           question->endpoints_digest,
-                                           question->leases_end, false};
+    const bool known = registry_.loaded() && routes_ != nullptr;
+    const bool news = store_failures_ > 0 || !reader_.empty() ||
+                      (known && OwnQuestion(false) !=
+                                    PeerQuestion{question->config_version,
+                                                 question->endpoints_digest,
+                                                 question->leases_end, false});
     if (!question->hold || news) return respond(AnswerPeer(*question));
     held_questions_.push_back(
         {*question, respond, BootClock::now() + kHoldQuestion});
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -15,6 +15,9 @@
 // A leaving endpoint may get no new work after 2.5 s (the users' bound).
 constexpr Milliseconds kRegistryInterval{900};
 constexpr Milliseconds kRoutersInterval{15'000};
+// A store that is well answers sooner; a start must not wait for one that is
+// not.
+constexpr Milliseconds kRoutersPatience{500};
 // Failures in a row after which the store counts as away; a single lost answer
 // says little.
 constexpr int kStoreLostAfter = 2;
@@ -63,13 +66,17 @@
   routers_follower_ =
       follow({Log::kRouters, Milliseconds(0), kRoutersInterval},
              [this](const LogPage& page, BootTime) { OnRoutersPage(page); });
-  config_follower_->Start();
-  registry_follower_->Start();
-  leases_follower_->Start();
-  Every(routers_timer_, kRoutersDelay, [this] {
-    routers_follower_->Start();
+  // The other gateways are learned first: all that start together, as after a
+  // loss of power, would otherwise read everything from the store at once, over
+  // one link.
+  routers_follower_->Resume();
+  Every(follow_timer_, kRoutersPatience, [this] {
+    if (routers_known_) return;
+    ReadDirectly("other gateways not known in time");
     Follow();
   });
+  Every(routers_timer_, kRoutersDelay,
+        [this] { routers_follower_->ReadNow(); });
 }
 
 void Gateway::Impl::OnStoreAnswer(bool success, const std::string& detail) {
@@ -248,6 +255,8 @@
     if (router) routers_[router.value().id] = router.value();
   }
   forwarder_.SetGatewayCount(routers_.size());
+  // Without them in time, this gateway follows already.
+  if (!std::exchange(routers_known_, true) && !reads_store_) Follow();
   std::vector<LeaseRenewer> routers;
   std::ranges::copy(routers_ | std::views::values, std::back_inserter(routers));
   for (auto& keeper : keepers_ | std::views::values) {
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -125,7 +125,7 @@
   Milliseconds retry_{0};
   BootTime last_read_now_;
   bool reading_ = false;
-  bool paused_ = false;
+  bool paused_ = true;
   bool stopped_ = false;
 };
 
@@ -139,8 +139,6 @@
 // NOLINTNEXTLINE(bugprone-exception-escape)
 StoreFollower::~StoreFollower() { impl_->Stop(); }
 
-void StoreFollower::Start() { impl_->Read(); }
-
 void StoreFollower::Pause() { impl_->Pause(); }
 
 void StoreFollower::Resume(std::uint64_t covered_to) {
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -38,12 +38,11 @@
   StoreFollower(const StoreFollower&) = delete;
   StoreFollower& operator=(const StoreFollower&) = delete;
 
-  void Start();
+  // Starts to read, or goes on from the last known place, or from a later one
+  // that another source has covered. No effect while it reads.
+  void Resume(std::uint64_t covered_to = 0);
   // No further reads until Resume; one under way still counts.
   void Pause();
-  // Goes on from the last known place, or from a later one that another source
-  // has covered.
-  void Resume(std::uint64_t covered_to = 0);
   // Reads from the last known place at once, beside a read under way.
   void ReadNow();
 
--- a/Tests/UsersPlatform/gateway_path_test.cc
+++ b/Tests/UsersPlatform/gateway_path_test.cc
@@ -61,19 +61,27 @@
   return "127.0.0.1:" + std::to_string(probe.Listen("127.0.0.1:0").value());
 }
 
+gateway::RouterSettings Settings(boost::asio::io_context& loop,
+                                 const std::string& id,
+                                 const std::string& store) {
+  gateway::RouterSettings settings;
+  settings.id = id;
+  settings.data_centre = "a";
+  settings.region_of["a"] = "region";
+  settings.front_address = FreeAddress(loop);
+  settings.ready_address = FreeAddress(loop);
+  settings.peer_address = FreeAddress(loop);
+  settings.metrics_address = FreeAddress(loop);
+  settings.store_address = store;
+  settings.retry_slack = 100;
+  settings.stop_grace = Milliseconds(4'000);
+  return settings;
+}
+
 struct Fixture {
   Fixture() {
-    gateway::RouterSettings settings;
-    settings.id = "gateway-1";
-    settings.data_centre = "a";
-    settings.region_of["a"] = "region";
-    settings.front_address = FreeAddress(loop);
-    settings.ready_address = FreeAddress(loop);
-    settings.peer_address = FreeAddress(loop);
-    settings.metrics_address = FreeAddress(loop);
-    settings.store_address = store.Listen();
-    settings.retry_slack = 100;
-    settings.stop_grace = Milliseconds(4'000);
+    store_address = store.Listen();
+    const auto settings = Settings(loop, "gateway-1", store_address);
     store.Put("keyed.op", "config", Config("00000001").dump());
     for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
       endpoint->Listen();
@@ -106,9 +114,10 @@
     return true;
   }
 
-  bool Ready() {
-    const auto outcome = Await<HttpClient::Outcome>(loop, [this](auto done) {
-      ready->Send({"GET", "/readiness", {}, "", 0}, Milliseconds(500), done);
+  bool Ready() { return Ready(*ready); }
+  bool Ready(HttpClient& client) {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      client.Send({"GET", "/readiness", {}, "", 0}, Milliseconds(500), done);
     });
     return outcome.response && outcome.response->status == 200;
   }
@@ -143,6 +152,7 @@
 
   boost::asio::io_context loop{1};
   UsersStore store{loop};
+  std::string store_address;
   UsersEndpoint plain1{loop, "i-1", false};
   UsersEndpoint plain2{loop, "i-2", false};
   UsersEndpoint keyed{loop, "i-3", true};
@@ -413,5 +423,46 @@
   BOOST_TEST(outcome->response->status == 502U);
 }
 
+struct StartCase {
+  const char* name;
+  bool reader_is_gone;
+  std::size_t newest_reads;
+};
+
+std::ostream& operator<<(std::ostream& out, const StartCase& c) {
+  return out << c.name;
+}
+
+const StartCase kStarts[] = {
+    // The other gateways only.
+    {"beside a gateway that reads the store", false, 1},
+    // Also the configuration, the registry and the leases.
+    {"the gateway that should read the store is gone", true, 4},
+};
+
+// Found on stasimo-gw-grown trouble-1: after a loss of power all gateways read
+// all of the store over one link, and half of them were ready 4 s late.
+BOOST_DATA_TEST_CASE_F(Fixture, a_start_spares_the_store, data::make(kStarts),
+                       start) {
+  if (start.reader_is_gone) {
+    store.Put(
+        "keyed.balsamhall-routers", "gateway-0",
+        gateway::SerializeRenewer({"gateway-0", 1, FreeAddress(loop), "a"}));
+  }
+  const std::size_t before = store.calls("log-newest");
+  const auto settings = Settings(loop, "gateway-2", store_address);
+  StoreClient client(loop, settings.store_address, Milliseconds(1'000));
+  gateway::Gateway second(
+      loop, settings, client, dialect,
+      {kConfigKey, ParseOperatorConfig, ParseRegistryEntry});
+  BOOST_REQUIRE(second.Start());
+  HttpClient second_ready(loop, settings.ready_address, HttpClientOptions{});
+  // A fleet has to serve a few seconds after its start, so each gateway is to
+  // be ready within two.
+  BOOST_REQUIRE(
+      RunUntil([&] { return Ready(second_ready); }, Milliseconds(2'000)));
+  BOOST_TEST(store.calls("log-newest") - before == start.newest_reads);
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
