--- a/Tests/Gateway/load_replay_test.cc
+++ b/Tests/Gateway/load_replay_test.cc
@@ -65,6 +65,27 @@
   return c;
 }
 
+// Found on stasimo-gw-grown scale-1: many gateways, each of which seldom sees
+// an endpoint, and a route that gives up before its target. 706 requests/s ask
+// for a capacity of 450/s.
+ReplayCase LargeFleetInFlood() {
+  ReplayCase c{Named("flood of background work in a large fleet",
+                     {{"proof", 2, true, 271, 680, Ms(4'000), Ms(3'000)}}),
+               "proof"};
+  c.pattern.data_centres = 6;
+  c.pattern.gateways_per_centre = 10;
+  c.pattern.endpoints_per_centre = 17;
+  c.pattern.slots = 3;
+  c.pattern.endpoint_queue = 12;
+  WorkKind& kind = c.pattern.kinds[0];
+  kind.flood_factor = 2.6;
+  kind.flood_from = Ms(0);
+  kind.flood_to = c.pattern.length;
+  c.least_served = 0.95 * 450 / (271 * 2.6);
+  c.least_in_target = c.least_served;
+  return c;
+}
+
 ReplayCase UrgentInFlood() {
   ReplayCase c{Named("urgent work in a flood of background work",
                      {Urgent(20), Archive(36)}),
@@ -138,6 +159,11 @@
   CheckReplay(UrgentInFlood(), seed);
 }
 
+BOOST_DATA_TEST_CASE(a_large_fleet_keeps_its_goodput_in_a_flood,
+                     data::make({1U, 2U, 3U}), seed) {
+  CheckReplay(LargeFleetInFlood(), seed);
+}
+
 BOOST_AUTO_TEST_CASE(local_endpoints_before_distant_ones) {
   const auto result = Replay(Calm().pattern, Policy::kScheduler, 1);
   const KindResult& kind = result.kinds.at("archive");
