--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -17,14 +17,17 @@
 
 }  // namespace
 
-std::map<std::string, EndpointRef> AddressHolders(
+std::map<std::string, AddressHolder> AddressHolders(
     const std::map<EndpointId, EndpointInfo>& endpoints,
     const std::map<ServiceId, ServiceSpec>& services) {
-  std::map<std::string, EndpointRef> holders;
+  std::map<std::string, AddressHolder> holders;
   for (const auto& endpoint : endpoints | std::views::values) {
-    if (!services.contains(endpoint.service)) continue;
-    EndpointRef& holder = holders[endpoint.address];
-    if (holder.incarnation <= endpoint.ref.incarnation) holder = endpoint.ref;
+    const auto service = services.find(endpoint.service);
+    if (service == services.end()) continue;
+    AddressHolder& holder = holders[endpoint.address];
+    if (holder.ref.incarnation <= endpoint.ref.incarnation) {
+      holder = {endpoint.ref, service->second.divided_by_key};
+    }
   }
   return holders;
 }
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -13,10 +13,15 @@
 
 namespace balsamhall::gateway {
 
+struct AddressHolder {
+  EndpointRef ref;
+  bool takes_leases = false;  // its service is divided by key
+};
+
 // Which endpoint answers at each address: of several entries with the same one,
 // the latest life. Entries of services that are not configured prove nothing
 // and are left out.
-std::map<std::string, EndpointRef> AddressHolders(
+std::map<std::string, AddressHolder> AddressHolders(
     const std::map<EndpointId, EndpointInfo>& endpoints,
     const std::map<ServiceId, ServiceSpec>& services);
 
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -121,7 +121,7 @@
   Metrics metrics_;
   Forwarder forwarder_;
   EndpointRegistry registry_;
-  std::map<std::string, EndpointRef> address_holders_;
+  std::map<std::string, AddressHolder> address_holders_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<ServiceId, std::unique_ptr<LeaseKeeper>> keepers_;
   std::map<ServiceId, std::uint64_t> shown_versions_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -167,8 +167,9 @@
     // Gateways that start together are not all up at once.
     const bool starting = !reads_store_ && reader_.empty() && !stopping_ &&
                           BootClock::now() - started_ < kStartPatience;
-    if (starting)
+    if (starting) {
       return Every(follow_timer_, kFollowPause, [this] { Follow(); });
+    }
     avoided_readers_[reader.id] = BootClock::now() + kAvoidReader;
     ReadDirectly(state ? "reader without store" : state.error().detail);
     return Every(follow_timer_, kFollowPause, [this] { Follow(); });
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -201,7 +201,7 @@
       [this](const EndpointInfo& endpoint) {
         const auto holder = address_holders_.find(endpoint.address);
         return holder == address_holders_.end() ||
-               holder->second.incarnation <= endpoint.ref.incarnation;
+               holder->second.ref.incarnation <= endpoint.ref.incarnation;
       });
   return live;
 }
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -169,7 +169,7 @@
                         std::vector<LeaseAction>& actions) {
   if (!MayRenew(now)) return;
   for (const RangeLease& lease : table_.ranges) {
-    if (!lease.granted || HasEnded(lease.owner)) continue;
+    if (!lease.granted || IsSuperseded(lease.owner)) continue;
     Progress& progress = ProgressOf(lease);
     if (progress.call != 0 || progress.refused || now < progress.next_call) {
       continue;
@@ -261,19 +261,25 @@
   return end;
 }
 
-// Another life under its id, or a later endpoint at its address, proves that a
-// holder has ended.
+// Another life under its id, or a later endpoint at its address.
+bool LeaseKeeper::IsSuperseded(const LeaseHolder& holder) const {
+  const auto successor = addresses_.find(holder.address);
+  return (successor != addresses_.end() &&
+          successor->second.ref.incarnation > holder.ref.incarnation) ||
+         std::ranges::any_of(endpoints_, [&](const PlannedEndpoint& endpoint) {
+           const EndpointRef& ref = endpoint.holder.ref;
+           return ref.id == holder.ref.id &&
+                  ref.incarnation > holder.ref.incarnation;
+         });
+}
+
+// Proves that no lease of the holder can run. A call reaches whoever answers at
+// the address, so a successor that takes leases may hold what was granted to
+// the holder after its end: it has to release the keys.
 bool LeaseKeeper::HasEnded(const LeaseHolder& holder) const {
-  const auto later = [&](const EndpointRef& ref) {
-    return ref.incarnation > holder.ref.incarnation;
-  };
-  const bool reborn =
-      std::ranges::any_of(endpoints_, [&](const PlannedEndpoint& endpoint) {
-        return endpoint.holder.ref.id == holder.ref.id &&
-               later(endpoint.holder.ref);
-      });
+  if (!IsSuperseded(holder)) return false;
   const auto successor = addresses_.find(holder.address);
-  return reborn || (successor != addresses_.end() && later(successor->second));
+  return successor == addresses_.end() || !successor->second.takes_leases;
 }
 
 bool LeaseKeeper::PreviousIsGone(const RangeLease& lease,
@@ -491,7 +497,7 @@
       if (lease.previous == lease.owner) lease.previous = {};
       const bool lost = std::ranges::none_of(
           usable, [&](const auto& e) { return e.holder == from->owner; });
-      if (lost && !HasEnded(from->owner)) {
+      if (lost && !IsSuperseded(from->owner)) {
         const auto end = OwnLeaseEnd(from->owner.ref);
         lease.expected_wait = std::max(
             kUsualMove, std::chrono::duration_cast<Milliseconds>(end - now));
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -11,6 +11,7 @@
 
 #include "core/types.h"
 #include "gateway/boot_clock.h"
+#include "gateway/endpoint_registry.h"
 #include "gateway/lease_table.h"
 #include "gateway/range_planner.h"
 
@@ -114,7 +115,7 @@
   // The endpoints that may hold keys.
   void OnEndpoints(std::vector<PlannedEndpoint> endpoints, BootTime now);
   // Which endpoint, of any service, answers at each address.
-  void OnAddresses(std::map<std::string, EndpointRef> holders) {
+  void OnAddresses(std::map<std::string, AddressHolder> holders) {
     addresses_ = std::move(holders);
   }
   void OnAppend(AppendOutcome outcome, BootTime now);
@@ -170,6 +171,7 @@
                  std::vector<LeaseAction>& actions);
   bool PreviousIsGone(const RangeLease& lease, const Progress& progress,
                       BootTime now) const;
+  bool IsSuperseded(const LeaseHolder& holder) const;
   bool HasEnded(const LeaseHolder& holder) const;
   BootTime PreviousEnd(const LeaseHolder& previous) const;
   BootTime OwnLeaseEnd(const EndpointRef& endpoint) const;
@@ -202,7 +204,7 @@
   std::vector<LeaseRenewer> routers_;
   std::vector<PlannedEndpoint> endpoints_;
   BootTime endpoints_changed_;
-  std::map<std::string, EndpointRef> addresses_;
+  std::map<std::string, AddressHolder> addresses_;
   BootTime next_plan_;
   BootTime next_publish_;
   BootTime next_renewers_;
--- a/Tests/Gateway/decisions_test.cc
+++ b/Tests/Gateway/decisions_test.cc
@@ -178,7 +178,7 @@
   other.ref.incarnation = address.incarnation;
   const auto holders = AddressHolders({{"e", Endpoint("e")}, {"f", other}},
                                       {{"service", {}}, {"other", {}}});
-  BOOST_TEST(holders.at("10.0.0.1:80").id == address.holder);
+  BOOST_TEST(holders.at("10.0.0.1:80").ref.id == address.holder);
 }
 
 LeaseHolder Holder(int number) {
@@ -302,6 +302,10 @@
   return out << c.name;
 }
 
+constexpr int kWarmUp = 10;  // seconds
+constexpr int kPlans = 30;   // one per second
+constexpr int kSlices = 4;   // of a second
+
 // The Association's lookups and Stasimo's once grown.
 const ChanceCase kChances[] = {
     {"a small fleet", 12, 196},
@@ -310,12 +314,10 @@
 // Found on stasimo-gw-grown trouble-1: keys that moved for chance were unserved
 // meanwhile, up to a quarter of all requests.
 BOOST_DATA_TEST_CASE(chance_moves_no_keys, data::make(kChances), chance) {
-  constexpr int kWarmUp = 10;
-  constexpr int kPlans = 30;  // one per second
-  constexpr int kSlices = 4;  // of a second
   std::mt19937 random(1);
   std::uniform_int_distribution<int> any_key(0, kShardKeys - 1);
-  std::poisson_distribution<int> arrivals(chance.per_second / kSlices);
+  std::poisson_distribution<int> arrivals(
+      static_cast<double>(chance.per_second) / kSlices);
   const auto endpoints = Endpoints(chance.endpoints);
   BootTime now{std::chrono::hours(1)};
   KeyLoad load;
--- a/Tests/Gateway/endpoint_load_test.cc
+++ b/Tests/Gateway/endpoint_load_test.cc
@@ -63,16 +63,18 @@
   BOOST_TEST(load.Replaced(now) == suspicion.replaced);
 }
 
+constexpr int kEndpoints = 8;
+constexpr int kReplaced = 5;
+
 // Load pattern: most endpoints end and their addresses go to others, while
 // their registry entries stand for three heartbeats.
 BOOST_AUTO_TEST_CASE(replaced_endpoints_are_tried_once) {
-  constexpr int kEndpoints = 8;
-  constexpr int kReplaced = 5;
   RouterSettings settings;
   settings.data_centre = "a";
   settings.region_of["a"] = "region";
   Scheduler scheduler(settings, 1);
   std::vector<EndpointInfo> infos;
+  infos.reserve(kEndpoints);
   for (int i = 0; i < kEndpoints; ++i) {
     infos.push_back(Endpoint("e" + std::to_string(i)));
   }
--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -158,26 +158,58 @@
   BOOST_TEST(granted->count() <= move.latest.count());
 }
 
+enum class First { kGrant, kRelease };
+
 struct EndedCase {
   const char* name;
   EndpointRef successor;
   std::string address;
-  bool ended;
+  bool takes_leases;
+  First first;  // what the mover does first
 };
 
 std::ostream& operator<<(std::ostream& out, const EndedCase& c) {
   return out << c.name;
 }
 
+// A release goes to whoever answers at the old holder's address.
 const EndedCase kEnded[] = {
-    {"a new life of the old holder", {"old", 2}, "old:1", true},
-    {"a later endpoint at its address", {"other", 2}, "old:1", true},
-    {"an earlier endpoint at its address", {"other", 0}, "old:1", false},
-    {"a later endpoint elsewhere", {"other", 2}, "other:1", false},
+    {"a new life of the old holder elsewhere",
+     {"old", 2},
+     "old:2",
+     true,
+     First::kGrant},
+    {"a new life that may have taken grants for the old one",
+     {"old", 2},
+     "old:1",
+     true,
+     First::kRelease},
+    {"a later endpoint of another service",
+     {"other", 2},
+     "old:1",
+     false,
+     First::kGrant},
+    {"a later endpoint that may have taken grants for the old one",
+     {"other", 2},
+     "old:1",
+     true,
+     First::kRelease},
+    {"an earlier endpoint at its address",
+     {"other", 0},
+     "old:1",
+     false,
+     First::kRelease},
+    {"a later endpoint elsewhere",
+     {"other", 2},
+     "other:1",
+     false,
+     First::kRelease},
 };
 
 // Found on stasimo-gw-grown trouble-1: 41 endpoints ended and their addresses
-// went to another service, but their keys waited for leases of seven seconds.
+// went to another service, but their keys waited for leases of seven seconds;
+// and by seed 14 of the soak: a reborn endpoint held what was granted to its
+// earlier life, and the keys were granted to another one as well.
 BOOST_DATA_TEST_CASE(a_holder_that_ended_is_not_waited_for, data::make(kEnded),
                      ended) {
   LeaseKeeper keeper = Keeper(kMover, false);
@@ -186,9 +218,12 @@
     keeper.OnEndpoints({{kNew, 2}, {{ended.successor, ended.address}, 2}},
                        kStart);
   }
-  keeper.OnAddresses({{ended.address, ended.successor}});
-  BOOST_TEST(Only<GrantCall>(keeper.Tick(kStart)).size() ==
-             (ended.ended ? 1U : 0U));
+  keeper.OnAddresses({{ended.address, {ended.successor, ended.takes_leases}}});
+  const auto actions = keeper.Tick(kStart);
+  BOOST_TEST(Only<GrantCall>(actions).size() ==
+             (ended.first == First::kGrant ? 1U : 0U));
+  BOOST_TEST(Only<ReleaseCall>(actions).size() ==
+             (ended.first == First::kRelease ? 1U : 0U));
 }
 
 BOOST_AUTO_TEST_CASE(a_refused_grant_is_not_repeated_with_its_fence) {
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -170,6 +170,11 @@
     }
     router.keeper->OnLogEnd(log_.size(), now_);
     router.keeper->OnRouters(Routers());
+    std::map<std::string, AddressHolder> addresses;
+    for (const PlannedEndpoint& endpoint : Registered()) {
+      addresses[endpoint.holder.address] = {endpoint.holder.ref, true};
+    }
+    router.keeper->OnAddresses(std::move(addresses));
     router.keeper->OnEndpoints(Registered(), now_);
   }
 
@@ -251,10 +256,12 @@
     const Ms way = Between(1, 350);
     After(way, [this, index, grant, late] {
       const BootTime arrival = now_;
+      const EndpointRef life = EndpointAt(grant.to).holder().ref;
       After(late ? Between(2'000, 12'000) : Ms(0),
-            [this, index, grant, late, arrival] {
+            [this, index, grant, late, arrival, life] {
               SimulatedEndpoint& endpoint = EndpointAt(grant.to);
-              if (!endpoint.up) return;
+              // What is to be carried out later ends with the process.
+              if (!endpoint.up || endpoint.holder().ref != life) return;
               const auto outcome = endpoint.Grant(grant, arrival, now_);
               if (!late) Answer(index, grant.call, outcome, Ms(1));
             });
@@ -466,7 +473,7 @@
 
 CallOutcome SimulatedEndpoint::Grant(const GrantCall& call, BootTime arrival,
                                      BootTime now) {
-  if (call.to.ref != holder_.ref) return CallOutcome::kUnanswered;
+  // A call names no life: a later one at the address takes it as well.
   std::vector<ShardKey> keys;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     if (call.range.Contains(WatchedKey(i))) keys.push_back(WatchedKey(i));
@@ -485,7 +492,6 @@
 }
 
 void SimulatedEndpoint::Release(const ReleaseCall& call) {
-  if (call.from.ref != holder_.ref) return;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     const ShardKey key = WatchedKey(i);
     if (!call.range.Contains(key)) continue;
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <numeric>
+#include <span>
 
 #include "StandIn/http_reply.h"
 
@@ -42,8 +43,8 @@
 std::string UsersEndpoint::Entry(const std::string& service,
                                  const std::string& state) const {
   return json{
-      {"address", address_},
-      {"born", 1},
+      {"address", public_address_.empty() ? address_ : public_address_},
+      {"born", born_},
       {"info",
        {{"service", service}, {"version", "v1"}, {"zone", "a"}, {"slots", 2}}},
       {"status", {{"state", state}, {"sequence", 1}, {"warmup_left", "0ms"}}}}
@@ -57,33 +58,37 @@
 }
 
 bool UsersEndpoint::Holds(std::uint16_t key) const {
-  const auto now = std::chrono::steady_clock::now();
-  return std::ranges::any_of(grants_, [&](const Grant& grant) {
-    return grant.from <= key && key <= grant.to && now < grant.end;
-  });
+  return std::chrono::steady_clock::now() < keys_->at(key).end;
+}
+
+void UsersEndpoint::Restart() {
+  ++born_;
+  keys_ = std::make_unique<KeyTable>();
 }
 
 HttpResponse UsersEndpoint::OnGrant(const std::string& text) {
   const json body = json::parse(text);
-  Grant grant{body.at("from"), body.at("to"), body.at("fence"),
-              std::chrono::steady_clock::now() +
-                  Milliseconds(ParseMs(body.at("hold_time")))};
-  const bool refused = std::ranges::any_of(grants_, [&](const Grant& other) {
-    return other.from <= grant.to && grant.from <= other.to &&
-           other.fence > grant.fence;
-  });
-  if (refused) return {409, {}, ""};
-  grants_.push_back(grant);
+  const std::span keys = std::span(*keys_).subspan(
+      body.at("from"),
+      body.at("to").get<int>() - body.at("from").get<int>() + 1);
+  const std::uint64_t fence = body.at("fence");
+  if (std::ranges::any_of(
+          keys, [&](const KeyState& key) { return key.fence > fence; })) {
+    return {409, {}, ""};
+  }
+  const auto end = std::chrono::steady_clock::now() +
+                   Milliseconds(ParseMs(body.at("hold_time")));
+  std::ranges::fill(keys, KeyState{fence, end});
   return {200, {}, ""};
 }
 
 HttpResponse UsersEndpoint::OnRelease(const std::string& text) {
   const json body = json::parse(text);
-  grants_.push_back({body.at("from"), body.at("to"), body.at("fence"), {}});
-  const Grant& release = grants_.back();
-  for (Grant& grant : grants_) {
-    if (grant.from <= release.to && release.from <= grant.to) grant.end = {};
-  }
+  const std::span keys = std::span(*keys_).subspan(
+      body.at("from"),
+      body.at("to").get<int>() - body.at("from").get<int>() + 1);
+  const std::uint64_t fence = body.at("fence");
+  for (KeyState& key : keys) key = {std::max(key.fence, fence), {}};
   return {200, {{"X-Balsamhall-Handover", "handover-of-" + id_}}, ""};
 }
 
@@ -106,6 +111,10 @@
     case EndpointFault::kUnsigned:
       response.headers.erase(response.headers.begin() + 1);
       return response;
+    case EndpointFault::kFalsePromise:
+      response.headers.emplace_back("X-Balsamhall-Not-Executed", "1");
+      response.status = 503;
+      return response;
     case EndpointFault::kFalseBusy:
       response.status = 503;
       return response;
--- a/Tests/StandIn/users_endpoint.h
+++ b/Tests/StandIn/users_endpoint.h
@@ -2,8 +2,10 @@
 #ifndef BALSAMHALL_TESTS_STANDIN_USERS_ENDPOINT_H_
 #define BALSAMHALL_TESTS_STANDIN_USERS_ENDPOINT_H_
 
+#include <array>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -20,13 +22,14 @@
 
 enum class EndpointFault {
   kNone,
-  kShed,       // 503, not executed
-  kReset,      // runs, then ends the connection with half an answer
-  kError,      // runs, then answers 500
-  kForeign,    // answers with another request's id
-  kUnsigned,   // answers 200 without its mark
-  kSilent,     // runs and never answers
-  kFalseBusy,  // runs, then answers 503 without saying that it did not
+  kShed,          // 503, not executed
+  kReset,         // runs, then ends the connection with half an answer
+  kError,         // runs, then answers 500
+  kForeign,       // answers with another request's id
+  kUnsigned,      // answers 200 without its mark
+  kSilent,        // runs and never answers
+  kFalseBusy,     // runs, then answers 503 without saying that it did not
+  kFalsePromise,  // runs, then says that it did not
 };
 
 // Counts what runs, by request id. Runs on one loop.
@@ -38,6 +41,12 @@
   std::string Listen();
   std::string Entry(const std::string& service, const std::string& state) const;
   std::string address() const { return address_; }
+  // The address that its entry states, if it is reached through a proxy.
+  void set_public_address(std::string address) {
+    public_address_ = std::move(address);
+  }
+  // Another life under the same id, which holds no keys.
+  void Restart();
   const std::string& id() const { return id_; }
 
   void set_fault(EndpointFault fault) { fault_ = fault; }
@@ -51,12 +60,11 @@
   const HttpHeaders& last_headers() const { return last_headers_; }
 
  private:
-  struct Grant {
-    std::uint16_t from = 0;
-    std::uint16_t to = 0;
-    std::uint64_t fence = 0;
-    SteadyTime end;
+  struct KeyState {
+    std::uint64_t fence = 0;  // the highest seen
+    SteadyTime end;           // of the lease
   };
+  using KeyTable = std::array<KeyState, 65536>;
 
   void OnRequest(const HttpRequest& request,
                  const HttpServer::Respond& respond);
@@ -74,7 +82,9 @@
   std::map<std::string, int> runs_;
   std::set<std::uint64_t> gone_;  // connections that the caller closed
   int aborted_ = 0;
-  std::vector<Grant> grants_;
+  std::unique_ptr<KeyTable> keys_ = std::make_unique<KeyTable>();
+  std::string public_address_;
+  std::int64_t born_ = 1;
   HttpHeaders last_headers_;
 };
 
--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -129,9 +129,13 @@
   }
   if (call == "log-join") {
     const json body = json::parse(request.body);
-    if (member_.empty()) member_ = body.at("member").get<std::string>();
+    const auto now = std::chrono::steady_clock::now();
+    const auto joining = body.at("member").get<std::string>();
+    if (member_.empty() || now >= member_until_) member_ = joining;
     json parts = json::array();
-    if (member_ == body.at("member").get<std::string>()) {
+    if (member_ == joining) {
+      member_until_ =
+          now + Milliseconds(std::stoi(body.at("ttl_time").get<std::string>()));
       parts.push_back({body.at("topics").at(0), 0, 0});
     }
     return respond(JsonReply({{"generation", ++generation_},
@@ -139,7 +143,7 @@
                               {"parts", parts}}));
   }
   if (call == "log-leave") {
-    member_.clear();
+    if (json::parse(request.body).at("member") == member_) member_.clear();
     return respond(JsonReply(json::object()));
   }
   respond({404, {}, ""});
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -24,7 +24,7 @@
 };
 
 // One log for each topic, partition 0 only; a group with one member that holds
-// its partition. Runs on one loop.
+// its partition until its time to live is over. Runs on one loop.
 class UsersStore {
  public:
   explicit UsersStore(boost::asio::io_context& loop);
@@ -60,6 +60,7 @@
   std::map<std::string, Topic> topics_;
   std::map<std::string, std::size_t> calls_;
   std::string member_;
+  SteadyTime member_until_;
   std::uint64_t generation_ = 0;
   StoreFault fault_ = StoreFault::kNone;
 };
