--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -155,12 +155,6 @@
     RunAfter(loop_, delay, std::move(run));
   }
 
-  std::string FreeAddress() {
-    HttpServer probe(loop_, {},
-                     [](const HttpRequest&, const HttpServer::Respond&) {});
-    return "127.0.0.1:" + std::to_string(probe.Listen("127.0.0.1:0").value());
-  }
-
   void AddServer(std::size_t index) {
     const bool keyed = index >= options_.endpoints;
     Server server;
@@ -185,20 +179,20 @@
   void AddGateway(std::size_t index) {
     Gateway gateway;
     gateway.id = "gateway-" + std::to_string(index);
-    gateway.front = FreeAddress();
     gateway.store_link = std::make_unique<LoopbackProxy>(loop_, store_address_);
     // The metrics port is fixed, so each gateway has an address of its own,
-    // also beside other seeds.
+    // also beside other seeds. The other ports are below those that the system
+    // gives away, so nobody takes them while a gateway restarts.
     const std::string ip = "127.0." + std::to_string(seed_ % 250) + "." +
                            std::to_string(index + 1);
-    const std::string peer = FreeAddress();
+    gateway.front = ip + ":8641";
     const json settings{
         {"node", gateway.id},
         {"zone", "a"},
         {"zones", {{"a", "region"}}},
         {"ip", ip},
-        {"listen", {{"front", gateway.front}, {"ready", FreeAddress()}}},
-        {"internal_ports", {std::stoi(peer.substr(peer.rfind(':') + 1)), 0}},
+        {"listen", {{"front", gateway.front}, {"ready", ip + ":8640"}}},
+        {"internal_ports", {7620, 7635}},
         {"platform",
          {{"address", gateway.store_link->address()}, {"ttl_min", "1000ms"}}},
         {"heartbeat", "1000ms"},
