Keep the test gateways' addresses reserved until they listen

Start() fails only if an address can't be bound.

Cause: the fixture found its four addresses by listening on port 0 and releasing the port at once. The system may give a released port to the next caller: to the next of the four, or to an endpoint of the fixture that listens between the choice and the start.

Change: the fixture keeps a bound socket for each address. A bound socket that doesn't listen keeps its port from being chosen again, and lets the gateway, which sets SO_REUSEADDR, listen on it. The fixture moves to a header for the test files to come.

--- a/Tests/UsersPlatform/gateway_path_test.cc
+++ b/Tests/UsersPlatform/gateway_path_test.cc
@@ -1,167 +1,17 @@
 // End-to-end tests over sockets: callers, a gateway, endpoints and the store,
 // with the platform's formats and with injected faults.
-#include <boost/asio/io_context.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
-#include <nlohmann/json.hpp>
 #include <ostream>
 
-#include "StandIn/await.h"
-#include "StandIn/users_endpoint.h"
-#include "StandIn/users_store.h"
-#include "gateway/gateway.h"
-#include "http_dialect.h"
-#include "net/http_client.h"
-#include "operator_config.h"
-#include "registry_entry.h"
-#include "store_client.h"
+#include "UsersPlatform/gateway_fixture.h"
 
 namespace balsamhall::platform {
 namespace {
 
 namespace data = boost::unit_test::data;
-using nlohmann::json;
-using stand_in::EndpointFault;
-using stand_in::StoreFault;
-using stand_in::UsersEndpoint;
-using stand_in::UsersStore;
-
-json Route(const std::string& prefix, const std::string& type,
-           const std::string& service, const std::string& timeout = "400ms") {
-  return {{"host", "host.example"},    {"path_prefix", prefix},
-          {"route_type", type},        {"timeout", timeout},
-          {"target_latency", "200ms"}, {"priority", 1},
-          {"service", service},        {"max_attempts", 2}};
-}
-
-json Config(const std::string& version) {
-  const json plain{{"health_path", "/health"}, {"max_connections", 100}};
-  json keyed = plain;
-  keyed["sharded"] = true;
-  return {{"version", version},
-          {"routes",
-           {{"read", Route("/read/", "safe", "plain")},
-            {"write", Route("/write/", "unsafe", "plain")},
-            {"slow_read", Route("/slow/read/", "safe", "plain", "9000ms")},
-            {"slow_write", Route("/slow/write/", "unsafe", "plain", "9000ms")},
-            {"keyed", Route("/keyed/", "safe", "keyed")}}},
-          {"services", {{"plain", plain}, {"keyed", keyed}}},
-          {"limits",
-           {{"max_header_bytes", 16384},
-            {"max_body_bytes", 1 << 20},
-            {"header_timeout", "3000ms"},
-            {"idle_timeout", "15000ms"}}}};
-}
-
-std::string FreeAddress(boost::asio::io_context& loop) {
-  HttpServer probe(loop, {},
-                   [](const HttpRequest&, const HttpServer::Respond&) {});
-  return "127.0.0.1:" + std::to_string(probe.Listen("127.0.0.1:0").value());
-}
-
-gateway::GatewaySettings Settings(boost::asio::io_context& loop,
-                                  const std::string& id,
-                                  const std::string& store) {
-  gateway::GatewaySettings settings;
-  settings.id = id;
-  settings.data_centre = "a";
-  settings.region_of["a"] = "region";
-  settings.front_address = FreeAddress(loop);
-  settings.ready_address = FreeAddress(loop);
-  settings.peer_address = FreeAddress(loop);
-  settings.metrics_address = FreeAddress(loop);
-  settings.store_address = store;
-  settings.retry_slack = 100;
-  settings.stop_grace = Milliseconds(4'000);
-  return settings;
-}
-
-struct Fixture {
-  Fixture() {
-    store_address = store.Listen();
-    const auto settings = Settings(loop, "gateway-1", store_address);
-    store.Put("keyed.op", "config", Config("00000001").dump());
-    for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
-      endpoint->Listen();
-      store.Put("keyed.servers", endpoint->id(),
-                endpoint->Entry("plain", "ready"));
-    }
-    keyed.Listen();
-    store.Put("keyed.servers", keyed.id(), keyed.Entry("keyed", "ready"));
-    store_client = std::make_unique<StoreClient>(loop, settings.store_address,
-                                                 Milliseconds(1'000));
-    under_test = std::make_unique<gateway::Gateway>(
-        loop, settings, *store_client, dialect,
-        gateway::RecordParsers{kConfigKey, ParseOperatorConfig,
-                               ParseRegistryEntry});
-    BOOST_REQUIRE(under_test->Start());
-    front = std::make_unique<HttpClient>(loop, settings.front_address,
-                                         HttpClientOptions{});
-    ready = std::make_unique<HttpClient>(loop, settings.ready_address,
-                                         HttpClientOptions{});
-    BOOST_REQUIRE(RunUntil([this] { return Ready(); }));
-  }
-
-  template <typename Condition>
-  bool RunUntil(Condition condition, Milliseconds limit = Milliseconds(6'000)) {
-    const auto end = std::chrono::steady_clock::now() + limit;
-    while (!condition()) {
-      if (std::chrono::steady_clock::now() > end) return false;
-      RunFor(loop, Milliseconds(20));
-    }
-    return true;
-  }
-
-  bool Ready() { return Ready(*ready); }
-  bool Ready(HttpClient& client) {
-    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
-      client.Send({"GET", "/readiness", {}, "", 0}, Milliseconds(500), done);
-    });
-    return outcome.response && outcome.response->status == 200;
-  }
-
-  static HttpRequest Request(const std::string& target, const std::string& id) {
-    return {target.find("/write/") != std::string::npos ? "POST" : "GET",
-            target,
-            {{"Host", "host.example"},
-             {"X-Balsamhall-Request-Id", id},
-             {"X-Balsamhall-Deadline-Ms", "1000"},
-             {"X-Balsamhall-Shard-Key", "77"}},
-            "",
-            0};
-  }
-
-  HttpResponse Send(const HttpRequest& request) {
-    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
-      front->Send(request, Milliseconds(2'000), done);
-    });
-    BOOST_REQUIRE_MESSAGE(outcome.response, outcome.error.detail);
-    return *outcome.response;
-  }
-
-  int Runs(const std::string& id) const {
-    int runs = 0;
-    for (const UsersEndpoint* endpoint : {&plain1, &plain2, &keyed}) {
-      const auto found = endpoint->runs().find(id);
-      if (found != endpoint->runs().end()) runs += found->second;
-    }
-    return runs;
-  }
-
-  boost::asio::io_context loop{1};
-  UsersStore store{loop};
-  std::string store_address;
-  UsersEndpoint plain1{loop, "i-1", false};
-  UsersEndpoint plain2{loop, "i-2", false};
-  UsersEndpoint keyed{loop, "i-3", true};
-  HttpDialect dialect;
-  std::unique_ptr<StoreClient> store_client;
-  std::unique_ptr<gateway::Gateway> under_test;
-  std::unique_ptr<HttpClient> front;
-  std::unique_ptr<HttpClient> ready;
-};
 
 struct FaultCase {
   const char* name;
@@ -200,7 +50,8 @@
      "/write/x", 502, 1, 1},
 };
 
-BOOST_DATA_TEST_CASE_F(Fixture, endpoint_faults, data::make(kFaults), fault) {
+BOOST_DATA_TEST_CASE_F(GatewayFixture, endpoint_faults, data::make(kFaults),
+                       fault) {
   plain1.set_fault(fault.fault);
   plain2.set_fault(fault.fault);
   const auto start = std::chrono::steady_clock::now();
@@ -221,7 +72,8 @@
   }
 }
 
-BOOST_FIXTURE_TEST_CASE(deadline_and_headers_reach_the_endpoint, Fixture) {
+BOOST_FIXTURE_TEST_CASE(deadline_and_headers_reach_the_endpoint,
+                        GatewayFixture) {
   HttpRequest request = Request("/read/a?b=c", "id-2");
   request.headers.emplace_back("Connection", "keep-alive, X-Hop");
   request.headers.emplace_back("X-Hop", "1");
@@ -259,13 +111,13 @@
     {"unknown host", "other.example", "/read/x", 404},
 };
 
-BOOST_DATA_TEST_CASE_F(Fixture, routes, data::make(kRoutes), route) {
+BOOST_DATA_TEST_CASE_F(GatewayFixture, routes, data::make(kRoutes), route) {
   HttpRequest request = Request(route.target, "id-3");
   request.headers[0].second = route.host;
   BOOST_TEST(Send(request).status == route.status);
 }
 
-BOOST_FIXTURE_TEST_CASE(leases_are_granted_and_renewed, Fixture) {
+BOOST_FIXTURE_TEST_CASE(leases_are_granted_and_renewed, GatewayFixture) {
   BOOST_REQUIRE(RunUntil([this] { return keyed.Holds(77); }));
   BOOST_REQUIRE(RunUntil(
       [this] { return Send(Request("/keyed/x", "id-4")).status == 200; }));
@@ -287,7 +139,8 @@
     {"a store that responds 503", StoreFault::kBusy},
     {"an unresponsive store", StoreFault::kSilent}};
 
-BOOST_DATA_TEST_CASE_F(Fixture, requests_are_served_during_a_store_outage,
+BOOST_DATA_TEST_CASE_F(GatewayFixture,
+                       requests_are_served_during_a_store_outage,
                        data::make(kStoreFaults), fault) {
   BOOST_REQUIRE(RunUntil(
       [this] { return Send(Request("/keyed/x", "id-6")).status == 200; }));
@@ -306,7 +159,8 @@
                Milliseconds(2'500)));
 }
 
-BOOST_FIXTURE_TEST_CASE(draining_endpoints_get_no_new_requests, Fixture) {
+BOOST_FIXTURE_TEST_CASE(draining_endpoints_get_no_new_requests,
+                        GatewayFixture) {
   store.Put("keyed.servers", plain1.id(), plain1.Entry("plain", "draining"));
   RunFor(loop, Milliseconds(2'500));  // the users' limit
   const int before = plain1.total_runs();
@@ -336,7 +190,8 @@
     {"no service", "0000000a", "service", false},
 };
 
-BOOST_DATA_TEST_CASE_F(Fixture, configurations, data::make(kConfigs), change) {
+BOOST_DATA_TEST_CASE_F(GatewayFixture, configurations, data::make(kConfigs),
+                       change) {
   json config = Config(change.version);
   config["routes"]["new"] = Route("/new/", "safe", "plain");
   config["routes"]["new"].erase(change.broken);
@@ -347,7 +202,8 @@
   BOOST_TEST(Send(Request("/read/x", "id-old")).status == 200U);
 }
 
-BOOST_FIXTURE_TEST_CASE(newest_records_are_read_after_log_truncation, Fixture) {
+BOOST_FIXTURE_TEST_CASE(newest_records_are_read_after_log_truncation,
+                        GatewayFixture) {
   store.Compact("keyed.op");
   store.Compact("keyed.servers");
   json config = Config("0000000a");
@@ -359,7 +215,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(work_is_cancelled_when_its_caller_disconnects,
-                        Fixture) {
+                        GatewayFixture) {
   for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
     endpoint->set_work_time(Milliseconds(350));
   }
@@ -373,7 +229,7 @@
                Milliseconds(300)));
 }
 
-BOOST_FIXTURE_TEST_CASE(stop_finishes_requests_in_flight, Fixture) {
+BOOST_FIXTURE_TEST_CASE(stop_finishes_requests_in_flight, GatewayFixture) {
   for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
     endpoint->set_work_time(Milliseconds(300));
   }
@@ -406,7 +262,8 @@
 // Requests to an endpoint that never responds stayed open until the stopping
 // process closed their connections without a response (seen on
 // para-gateway-grown scale-2).
-BOOST_DATA_TEST_CASE_F(Fixture, stop_responds_to_requests_without_a_response,
+BOOST_DATA_TEST_CASE_F(GatewayFixture,
+                       stop_responds_to_requests_without_a_response,
                        data::make(kUnresponsiveStops), stop) {
   for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
     endpoint->set_fault(EndpointFault::kSilent);
@@ -445,15 +302,16 @@
 
 // After a power failure all gateways read the whole store over one link, and
 // half of them were ready 4 s late (seen on stasimo-gw-grown trouble-1).
-BOOST_DATA_TEST_CASE_F(Fixture, starting_gateway_reads_the_store_only_if_needed,
+BOOST_DATA_TEST_CASE_F(GatewayFixture,
+                       starting_gateway_reads_the_store_only_if_needed,
                        data::make(kStarts), start) {
   if (start.reader_is_gone) {
     store.Put("keyed.balsamhall-routers", "gateway-0",
               gateway::SerializeGatewayInstance(
-                  {"gateway-0", 1, FreeAddress(loop), "a"}));
+                  {"gateway-0", 1, addresses.Next(), "a"}));
   }
   const std::size_t before = store.calls("log-newest");
-  const auto settings = Settings(loop, "gateway-2", store_address);
+  const auto settings = Settings(addresses, "gateway-2", store_address);
   StoreClient client(loop, settings.store_address, Milliseconds(1'000));
   gateway::Gateway second(
       loop, settings, client, dialect,
