Log failed lease calls and the response that ends a row of them

The logs named neither the call nor the sender: the only lines about leases tell of plans and refusals.

Change: a line for the first failed grant or release of a range and one for the response that ends the row, with range, fence, endpoint, address and outcome; a counter of lease calls by call and outcome. At most two lines a range and row.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -94,7 +94,8 @@
   void JoinElection();
   void ReportKeyLoad();
   void Apply(LeaseKeeper& keeper, const LeaseAction& action);
-  void SendCall(LeaseKeeper& keeper, std::uint64_t call,
+  // name: of the call, for the metrics.
+  void SendCall(LeaseKeeper& keeper, std::uint64_t call, const char* name,
                 const std::string& address, HttpRequest request,
                 Milliseconds timeout);
   void OnPeerRequest(const HttpRequest& request,
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -146,17 +146,22 @@
 }
 
 void Gateway::Impl::SendCall(LeaseKeeper& keeper, std::uint64_t call,
-                             const std::string& address, HttpRequest request,
-                             Milliseconds timeout) {
+                             const char* name, const std::string& address,
+                             HttpRequest request, Milliseconds timeout) {
   ClientOf(call_clients_, address)
       .Send(std::move(request), timeout,
-            [this, &keeper, call](const HttpClient::Outcome& outcome) {
+            [this, &keeper, call, name](const HttpClient::Outcome& outcome) {
               BackendDialect::CallResult result;
               if (outcome.response) {
                 result = dialect_.ReadCallResult(*outcome.response);
               } else if (outcome.error.failure == HttpFailure::kNotSent) {
                 result.outcome = CallOutcome::kNotSent;
               }
+              metrics_.Add("lease_calls_total",
+                           std::string("call=\"") + name + "\",outcome=\"" +
+                               std::string(CallOutcomeName(result.outcome)) +
+                               "\"",
+                           1);
               keeper.OnCallResult(call, result.outcome,
                                   std::move(result.handover), BootClock::now());
             });
@@ -185,11 +190,11 @@
                 });
           },
           [&](const GrantCall& grant) {
-            SendCall(keeper, grant.id, grant.to.address,
+            SendCall(keeper, grant.id, "grant", grant.to.address,
                      dialect_.ToGrant(grant), LeaseKeeper::kCallTimeout);
           },
           [&](const ReleaseCall& release) {
-            SendCall(keeper, release.id, release.from.address,
+            SendCall(keeper, release.id, "release", release.from.address,
                      dialect_.ToRelease(release), LeaseKeeper::kReleaseTimeout);
           },
           [&](const PublishTable& publish) {
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -58,6 +58,20 @@
 
 }  // namespace
 
+std::string_view CallOutcomeName(CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kDone:
+      return "done";
+    case CallOutcome::kRefused:
+      return "refused";
+    case CallOutcome::kNotSent:
+      return "not_sent";
+    case CallOutcome::kUnanswered:
+      break;
+  }
+  return "unanswered";
+}
+
 LeaseKeeper::LeaseKeeper(ServiceId service, GatewayInstance self,
                          BootTime started)
     : LeaseKeeper(std::move(service), std::move(self), started, Guards{}) {}
@@ -75,6 +89,25 @@
   events_.push_back({std::move(name), std::move(detail)});
 }
 
+// Reports the first failed call of a row and the response that ends the row:
+// the process that responds may not be the one that responded before.
+void LeaseKeeper::AddCallEvents(const RangeLease& lease,
+                                const Progress& progress, CallOutcome outcome) {
+  const bool responded =
+      outcome == CallOutcome::kDone || outcome == CallOutcome::kRefused;
+  if (responded ? progress.failures == 0 : progress.failures > 0) return;
+  const LeaseHolder& called = progress.releasing ? lease.previous : lease.owner;
+  AddEvent(
+      responded ? "lease_call_responded" : "lease_call_failed",
+      std::string(progress.releasing ? "release " : "grant ") +
+          lease.range.ToString() + " fence " + std::to_string(lease.fence) +
+          " at " + called.ref.ToString() + " " + called.address + ": " +
+          std::string(CallOutcomeName(outcome)) +
+          (responded
+               ? " after " + std::to_string(progress.failures) + " failures"
+               : ""));
+}
+
 std::vector<LeaseEvent> LeaseKeeper::TakeEvents() {
   return std::exchange(events_, {});
 }
@@ -214,11 +247,14 @@
   Progress& progress = ProgressOf(lease);
   if (progress.call != call) return;
   progress.call = 0;
+  AddCallEvents(lease, progress, outcome);
   const EndpointRef& called =
       progress.releasing ? lease.previous.ref : lease.owner.ref;
   if (done || outcome == CallOutcome::kRefused) {
     failures_[called] = {};
+    progress.failures = 0;
   } else {
+    ++progress.failures;
     progress.next_call = now + kCallRetryDelay;
     // A release waits for running requests to finish, so a timeout does not
     // show that the endpoint is unreachable.
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -56,6 +57,9 @@
   kUnanswered,  // may have been executed, or may still be
 };
 
+// Returns the name of an outcome, for logs and metrics.
+std::string_view CallOutcomeName(CallOutcome outcome);
+
 // kConflict: the log did not end at expected_end. kUnknown: the response was
 // lost, so the record may have been appended. kNotDone: nothing was appended.
 enum class AppendOutcome { kDone, kConflict, kUnknown, kNotDone };
@@ -165,6 +169,7 @@
     bool release_failed = false;  // a release failed or timed out
     bool granted = false;         // the endpoint accepted this fence
     bool refused = false;         // the endpoint has seen a higher fence
+    int failures = 0;             // failed calls since the last response
     std::string handover;
   };
   // The last table that a gateway is known to have adopted.
@@ -201,6 +206,8 @@
   bool PlanChanges(BootTime now, std::vector<LeaseAction>& actions);
   void AddRenewers(LeaseTable& table) const;
   void AddEvent(std::string name, std::string detail);
+  void AddCallEvents(const RangeLease& lease, const Progress& progress,
+                     CallOutcome outcome);
 
   const ServiceId service_;
   const GatewayInstance self_;
