Separate a simulated endpoint's process from its registry entry

The lease simulation took the process that runs at an address for the one that the registry shows, so a restart was known to all gateways at their next read. The entry is now state of its own.

--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -42,6 +42,7 @@
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       endpoints_.push_back(std::make_unique<SimulatedEndpoint>(LeaseHolder{
           {"e" + std::to_string(i), ++incarnation_}, "a" + std::to_string(i)}));
+      registry_.push_back({endpoints_.back()->holder()});
     }
     gateways_.resize(kGateways);
     for (std::size_t i = 0; i < kGateways; ++i) StartGateway(i);
@@ -74,6 +75,11 @@
     std::size_t read_to = 0;  // number of log records read
     BootTime next_read;
   };
+  // What the registry shows of an address: it may be out of date.
+  struct RegistryEntry {
+    LeaseHolder holder;
+    bool listed = true;
+  };
   struct Event {
     BootTime at;
     std::uint64_t sequence;
@@ -118,12 +124,22 @@
 
   std::vector<EligibleEndpoint> Registered() const {
     std::vector<EligibleEndpoint> all;
-    for (const auto& endpoint : endpoints_) {
-      if (endpoint->registered) all.push_back({endpoint->holder(), 2});
+    for (const RegistryEntry& entry : registry_) {
+      if (entry.listed) all.push_back({entry.holder, 2});
     }
     return all;
   }
 
+  // Makes the registry show the process that runs at the address.
+  void Publish(std::size_t endpoint) {
+    registry_[endpoint].holder = endpoints_[endpoint]->holder();
+  }
+
+  void RestartUnderSameId(std::size_t endpoint) {
+    endpoints_[endpoint]->Restart(
+        {endpoints_[endpoint]->holder().ref.id, ++incarnation_});
+  }
+
   bool ReachesStore(const Gateway& gateway) const {
     return store_up_ && !gateway.store_cut;
   }
@@ -349,13 +365,14 @@
       case 6:  // a crash, then a restart under the same id
         endpoints_[endpoint]->up = false;
         After(Between(200, 6'000), [this, endpoint] {
-          endpoints_[endpoint]->Restart(++incarnation_);
+          RestartUnderSameId(endpoint);
+          Publish(endpoint);
         });
         break;
       case 7:  // the registry entry lapses although the endpoint is up
-        endpoints_[endpoint]->registered = false;
+        registry_[endpoint].listed = false;
         After(Between(1'000, 9'000),
-              [this, endpoint] { endpoints_[endpoint]->registered = true; });
+              [this, endpoint] { registry_[endpoint].listed = true; });
         break;
       case 8:
         late_call_rate_ = 0.4;
@@ -367,14 +384,14 @@
         break;
       case 10:  // only one gateway, without the store, reaches an endpoint
         gateways_[gateway].store_cut = true;
-        endpoints_[endpoint]->registered = false;
+        registry_[endpoint].listed = false;
         if (elected_ == gateway) elected_ = (gateway + 1) % kGateways;
         for (std::size_t i = 0; i < kGateways; ++i) {
           gateways_[i].endpoint_cut[endpoint] = i != gateway;
         }
         After(Between(10'000, 45'000), [this, gateway, endpoint] {
           gateways_[gateway].store_cut = false;
-          endpoints_[endpoint]->registered = true;
+          registry_[endpoint].listed = true;
           for (Gateway& other : gateways_) other.endpoint_cut[endpoint] = false;
         });
         break;
@@ -394,9 +411,10 @@
       gateway.endpoint_cut = {};
       gateway.paused_until = now_;
     }
-    for (auto& endpoint : endpoints_) {
-      if (!endpoint->up) endpoint->Restart(++incarnation_);
-      endpoint->registered = true;
+    for (std::size_t i = 0; i < kEndpoints; ++i) {
+      if (!endpoints_[i]->up) RestartUnderSameId(i);
+      registry_[i].listed = true;
+      Publish(i);
     }
   }
 
@@ -455,6 +473,7 @@
   std::int64_t incarnation_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<SimulatedEndpoint>> endpoints_;
+  std::vector<RegistryEntry> registry_;  // by the endpoint's number
   std::vector<Gateway> gateways_;
   std::vector<LeaseTable> log_;
   bool store_up_ = true;
@@ -510,8 +529,8 @@
   return found != keys_.end() && now < found->second.end;
 }
 
-void SimulatedEndpoint::Restart(std::int64_t incarnation) {
-  holder_.ref.incarnation = incarnation;
+void SimulatedEndpoint::Restart(EndpointRef process) {
+  holder_.ref = std::move(process);
   keys_.clear();
   up = true;
 }
--- a/Tests/Gateway/lease_simulation.h
+++ b/Tests/Gateway/lease_simulation.h
@@ -15,8 +15,8 @@
 
 namespace balsamhall::gateway {
 
-// Endpoint with the grants, fences and releases that the users' protocol page
-// describes. Its lease clock runs 2% slow.
+// The process at an endpoint's address, with the grants, fences and releases
+// that the users' protocol page describes. Its lease clock runs 2% slow.
 class SimulatedEndpoint {
  public:
   explicit SimulatedEndpoint(LeaseHolder holder) : holder_(std::move(holder)) {}
@@ -24,12 +24,11 @@
   CallOutcome Grant(const GrantCall& call, BootTime arrival, BootTime now);
   void Release(const ReleaseCall& call);
   bool Holds(ShardKey key, BootTime now) const;
-  // Restarts under the same id with no earlier state.
-  void Restart(std::int64_t incarnation);
+  // Starts another process at the address, with no earlier state.
+  void Restart(EndpointRef process);
 
   const LeaseHolder& holder() const { return holder_; }
   bool up = true;
-  bool registered = true;
 
  private:
   struct KeyState {
