Lose a simulated call when the process that it was sent to ends

A grant in transit to a process that ended got no result at all, so the gateway that had sent it did not renew that range until the next table. A release that was sent to one process ran in its successor at the address. Both are now lost with the process and count as unanswered; so did late grants before.

--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -253,6 +253,11 @@
     return endpoints_[number]->up && !gateways_[gateway].endpoint_cut[number];
   }
 
+  static bool Runs(const SimulatedEndpoint& endpoint,
+                   const EndpointRef& process) {
+    return endpoint.up && endpoint.holder().ref == process;
+  }
+
   void Answer(std::size_t index, std::uint64_t call, CallOutcome outcome,
               Ms delay) {
     Deliver(index, delay, [this, call, outcome](LeaseKeeper& keeper) {
@@ -277,9 +282,10 @@
       After(late ? Between(2'000, 12'000) : Ms(0),
             [this, index, grant, late, arrival, target] {
               SimulatedEndpoint& endpoint = EndpointAt(grant.to);
-              // A delayed call is lost when the process ends.
-              if (!endpoint.up || endpoint.holder().ref != target) return;
-              const auto outcome = endpoint.Grant(grant, arrival, now_);
+              // A call is lost when the process ends.
+              const auto outcome = Runs(endpoint, target)
+                                       ? endpoint.Grant(grant, arrival, now_)
+                                       : CallOutcome::kUnanswered;
               if (!late) Answer(index, grant.id, outcome, Ms(1));
             });
     });
@@ -295,15 +301,17 @@
                     LeaseKeeper::kReleaseTimeout);
     }
     const bool late = Chance(late_call_rate_);
+    const EndpointRef target = EndpointAt(release.from).holder().ref;
     // Running requests on the keys have to finish first.
     After(late ? Between(2'000, 12'000) : Between(1, 1'000),
-          [this, index, release, late] {
+          [this, index, release, late, target] {
             SimulatedEndpoint& endpoint = EndpointAt(release.from);
-            if (endpoint.up) endpoint.Release(release);
+            // A call is lost when the process ends.
+            const bool runs = Runs(endpoint, target);
+            if (runs) endpoint.Release(release);
             if (late) return;
             Answer(index, release.id,
-                   endpoint.up ? CallOutcome::kDone : CallOutcome::kUnanswered,
-                   Ms(1));
+                   runs ? CallOutcome::kDone : CallOutcome::kUnanswered, Ms(1));
           });
     if (late) {
       Answer(index, release.id, CallOutcome::kUnanswered,
