Check the fences of accepted grants in the lease simulation

The rule on owners says that an endpoint takes a key only with a fencing token above all with which others had it. The simulation checked only that no two endpoints hold a key at once. It now records each grant that a process (id and incarnation) accepted, and reports the first one whose fence was not above all with which another process had the key. The same process may take the same fence again. It is a result of its own, fence_violation.

SimulationOptions::calls_name_endpoint makes grants and releases name their endpoint, so that a process with another id refuses them. It is off, as on the wire today.

No case checks it yet.

--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -35,13 +35,17 @@
 
 class Simulation {
  public:
-  Simulation(std::uint32_t seed, LeaseKeeper::Guards guards)
+  Simulation(std::uint32_t seed, LeaseKeeper::Guards guards,
+             SimulationOptions options)
       : random_(seed),
         guards_(guards),
+        options_(options),
         fault_rate_(kFaultRates.at(seed % kFaultRates.size())) {
     for (std::size_t i = 0; i < kEndpoints; ++i) {
-      endpoints_.push_back(std::make_unique<SimulatedEndpoint>(LeaseHolder{
-          {"e" + std::to_string(i), ++incarnation_}, "a" + std::to_string(i)}));
+      endpoints_.push_back(std::make_unique<SimulatedEndpoint>(
+          LeaseHolder{{"e" + std::to_string(i), ++incarnation_},
+                      "a" + std::to_string(i)},
+          options_));
       registry_.push_back({endpoints_.back()->holder()});
     }
     gateways_.resize(kGateways);
@@ -80,6 +84,12 @@
     LeaseHolder holder;
     bool listed = true;
   };
+  // A grant that a process accepted.
+  struct Taken {
+    EndpointRef process;
+    std::uint64_t fence = 0;
+    bool operator==(const Taken&) const = default;
+  };
   struct Event {
     BootTime at;
     std::uint64_t sequence;
@@ -286,6 +296,7 @@
               const auto outcome = Runs(endpoint, target)
                                        ? endpoint.Grant(grant, arrival, now_)
                                        : CallOutcome::kUnanswered;
+              if (outcome == CallOutcome::kDone) CheckFences(endpoint, grant);
               if (!late) Answer(index, grant.id, outcome, Ms(1));
             });
     });
@@ -307,11 +318,10 @@
           [this, index, release, late, target] {
             SimulatedEndpoint& endpoint = EndpointAt(release.from);
             // A call is lost when the process ends.
-            const bool runs = Runs(endpoint, target);
-            if (runs) endpoint.Release(release);
-            if (late) return;
-            Answer(index, release.id,
-                   runs ? CallOutcome::kDone : CallOutcome::kUnanswered, Ms(1));
+            const auto outcome = Runs(endpoint, target)
+                                     ? endpoint.Release(release)
+                                     : CallOutcome::kUnanswered;
+            if (!late) Answer(index, release.id, outcome, Ms(1));
           });
     if (late) {
       Answer(index, release.id, CallOutcome::kUnanswered,
@@ -434,15 +444,46 @@
       };
       if (std::ranges::count_if(endpoints_, holds) > 1) {
         result_.violation =
-            "key " + std::to_string(key) + " has two holders at " +
-            std::to_string(
-                std::chrono::duration_cast<Ms>(now_.time_since_epoch())
-                    .count()) +
-            " ms";
+            "key " + std::to_string(key) + " has two holders at " + Now();
+        for (const auto& endpoint : endpoints_ | std::views::filter(holds)) {
+          *result_.violation += ", " + endpoint->holder().ref.ToString() +
+                                " with fence " +
+                                std::to_string(endpoint->Fence(key));
+        }
+      }
+    }
+  }
+
+  // Records that the process took the keys, and checks the fence against those
+  // with which other processes had them.
+  void CheckFences(const SimulatedEndpoint& endpoint, const GrantCall& grant) {
+    const Taken taken{endpoint.holder().ref, grant.fence};
+    for (std::size_t i = 0; i < kWatchedKeys; ++i) {
+      const ShardKey key = WatchedKey(i);
+      if (!grant.range.Contains(key)) continue;
+      std::vector<Taken>& earlier = taken_[key];
+      // The same process may take the same fence again.
+      if (std::ranges::find(earlier, taken) != earlier.end()) continue;
+      const auto other = std::ranges::find_if(earlier, [&](const Taken& had) {
+        return had.process != taken.process && had.fence >= taken.fence;
+      });
+      if (other != earlier.end() && !result_.fence_violation) {
+        result_.fence_violation = "key " + std::to_string(key) + " went to " +
+                                  taken.process.ToString() + " with fence " +
+                                  std::to_string(taken.fence) + " at " + Now() +
+                                  "; " + other->process.ToString() +
+                                  " had it with fence " +
+                                  std::to_string(other->fence);
       }
+      earlier.push_back(taken);
     }
   }
 
+  std::string Now() const {
+    const auto time = std::chrono::duration_cast<Ms>(now_.time_since_epoch());
+    return std::to_string(time.count()) + " ms";
+  }
+
   std::string Describe(ShardKey key) const {
     std::string text = "elected gateway " + std::to_string(elected_) +
                        ", log " + std::to_string(log_.size());
@@ -475,6 +516,7 @@
 
   std::mt19937 random_;
   LeaseKeeper::Guards guards_;
+  SimulationOptions options_;
   double fault_rate_;
   BootTime now_{std::chrono::seconds(1'000)};
   std::uint64_t last_sequence_ = 0;
@@ -482,6 +524,7 @@
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<SimulatedEndpoint>> endpoints_;
   std::vector<RegistryEntry> registry_;  // by the endpoint's number
+  std::map<ShardKey, std::vector<Taken>> taken_;
   std::vector<Gateway> gateways_;
   std::vector<LeaseTable> log_;
   bool store_up_ = true;
@@ -500,10 +543,16 @@
   return keys_[key];
 }
 
+// TODO(issue 17): an outcome that tells this refusal from no answer.
+bool SimulatedEndpoint::IsForAnother(const LeaseHolder& named) const {
+  return options_.calls_name_endpoint && named.ref.id != holder_.ref.id;
+}
+
 CallOutcome SimulatedEndpoint::Grant(const GrantCall& call, BootTime arrival,
                                      BootTime now) {
   // A call does not name an incarnation: a later one at the address accepts it
   // as well.
+  if (IsForAnother(call.to)) return CallOutcome::kUnanswered;
   std::vector<ShardKey> keys;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     if (call.range.Contains(WatchedKey(i))) keys.push_back(WatchedKey(i));
@@ -522,7 +571,8 @@
   return CallOutcome::kDone;
 }
 
-void SimulatedEndpoint::Release(const ReleaseCall& call) {
+CallOutcome SimulatedEndpoint::Release(const ReleaseCall& call) {
+  if (IsForAnother(call.from)) return CallOutcome::kUnanswered;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     const ShardKey key = WatchedKey(i);
     if (!call.range.Contains(key)) continue;
@@ -530,6 +580,7 @@
     state.highest_fence = std::max(state.highest_fence, call.fence);
     state.end = {};
   }
+  return CallOutcome::kDone;
 }
 
 bool SimulatedEndpoint::Holds(ShardKey key, BootTime now) const {
@@ -537,6 +588,11 @@
   return found != keys_.end() && now < found->second.end;
 }
 
+std::uint64_t SimulatedEndpoint::Fence(ShardKey key) const {
+  const auto found = keys_.find(key);
+  return found == keys_.end() ? 0 : found->second.fence;
+}
+
 void SimulatedEndpoint::Restart(EndpointRef process) {
   holder_.ref = std::move(process);
   keys_.clear();
@@ -544,8 +600,9 @@
 }
 
 SimulationResult RunLeaseSimulation(std::uint32_t seed,
-                                    LeaseKeeper::Guards guards) {
-  return Simulation(seed, guards).Run();
+                                    LeaseKeeper::Guards guards,
+                                    SimulationOptions options) {
+  return Simulation(seed, guards, options).Run();
 }
 
 }  // namespace balsamhall::gateway
--- a/Tests/Gateway/lease_simulation.h
+++ b/Tests/Gateway/lease_simulation.h
@@ -15,15 +15,28 @@
 
 namespace balsamhall::gateway {
 
+// What the simulated fleet does, beside the guards.
+struct SimulationOptions {
+  // Grants and releases name their endpoint on the wire, and a process with
+  // another id refuses them. Otherwise any process at the address takes them.
+  bool calls_name_endpoint = false;
+  // Endpoints also end and start again, under the same or another id, while the
+  // registry shows the ended process.
+  bool hidden_restarts = false;
+};
+
 // The process at an endpoint's address, with the grants, fences and releases
 // that the users' protocol page describes. Its lease clock runs 2% slow.
 class SimulatedEndpoint {
  public:
-  explicit SimulatedEndpoint(LeaseHolder holder) : holder_(std::move(holder)) {}
+  SimulatedEndpoint(LeaseHolder holder, SimulationOptions options)
+      : holder_(std::move(holder)), options_(options) {}
 
   CallOutcome Grant(const GrantCall& call, BootTime arrival, BootTime now);
-  void Release(const ReleaseCall& call);
+  CallOutcome Release(const ReleaseCall& call);
   bool Holds(ShardKey key, BootTime now) const;
+  // Fence of the last accepted grant of the key; 0 if there was none.
+  std::uint64_t Fence(ShardKey key) const;
   // Starts another process at the address, with no earlier state.
   void Restart(EndpointRef process);
 
@@ -40,21 +53,27 @@
   static constexpr std::size_t kCellKeys = kShardKeys / kCells;
 
   LeaseHolder holder_;
+  SimulationOptions options_;
   // By key; only watched keys have an entry.
   std::map<ShardKey, KeyState> keys_;
   KeyState& StateOf(ShardKey key);
+  bool IsForAnother(const LeaseHolder& named) const;
 };
 
 struct SimulationResult {
   std::optional<std::string> violation;  // two holders of a key at once
-  std::optional<std::string> unserved;   // a key without holder at the end
-  int moves = 0;                         // appended tables
+  // The first grant that a process accepted with a fence that was not above
+  // every fence with which another process had the key.
+  std::optional<std::string> fence_violation;
+  std::optional<std::string> unserved;  // a key without holder at the end
+  int moves = 0;                        // appended tables
 };
 
 // Runs one seed: about a minute with faults, then a recovery phase without any,
 // at whose end every key must have a holder.
 SimulationResult RunLeaseSimulation(std::uint32_t seed,
-                                    LeaseKeeper::Guards guards);
+                                    LeaseKeeper::Guards guards,
+                                    SimulationOptions options = {});
 
 }  // namespace balsamhall::gateway
 
