Simulate endpoints that start again while the registry hides it

Reports say that a back end was given a key with a fence with which another had had it, and that two held the same keys. The lease simulation could not show this: a restart kept the id and was in the registry at once.

With SimulationOptions::hidden_restarts an endpoint also ends and starts again at its address after 50 ms to 3 s, under the same or another id, and the registry shows the ended process for another 0 to 20 s: alone, with a store outage for all or for some gateways, with late calls, or just after a lost leader. The other faults keep their rates.

--- a/Tests/Gateway/lease_random_test.cc
+++ b/Tests/Gateway/lease_random_test.cc
@@ -1,5 +1,6 @@
 // Random faults in a simulated fleet: each key has at most one holder at any
-// time, and has one again after the faults.
+// time, changes hands with rising fences, and has a holder again after the
+// faults.
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -30,6 +31,16 @@
   BOOST_TEST(result.moves > 0);
 }
 
+BOOST_DATA_TEST_CASE(no_process_takes_the_lease_of_its_predecessor,
+                     data::xrange(Seeds().first, Seeds().second), seed) {
+  const auto result = RunLeaseSimulation(seed, {}, {.hidden_restarts = true});
+  BOOST_TEST(!result.fence_violation.has_value(),
+             result.fence_violation.value_or(""));
+  BOOST_TEST(!result.violation.has_value(), result.violation.value_or(""));
+  BOOST_TEST(!result.unserved.has_value(), result.unserved.value_or(""));
+  BOOST_TEST(result.moves > 0);
+}
+
 struct GuardCase {
   const char* name;
   LeaseKeeper::Guards guards;
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -16,7 +16,12 @@
 // Probability of a new fault per step. At a low rate, long faults run their
 // course without another one.
 constexpr std::array<double, 3> kFaultRates{0.002, 0.006, 0.02};
+// Kinds of faults; those with hidden restarts come after the others.
+constexpr std::size_t kFaults = 12;
+constexpr std::size_t kHiddenRestartFaults = 6;
 constexpr Ms kFaultPhase{60'000};
+// Longer than a gateway renews leases under an old view.
+constexpr int kMaxRegistryDelayMs = 20'000;
 // Maximum view age, lease time and margins, and time for a few rounds of moves.
 constexpr Ms kRecoveryPhase{40'000};
 // Keys that are checked: the middle of each cell of 1,024 keys.
@@ -40,7 +45,10 @@
       : random_(seed),
         guards_(guards),
         options_(options),
-        fault_rate_(kFaultRates.at(seed % kFaultRates.size())) {
+        faults_(kFaults + (options.hidden_restarts ? kHiddenRestartFaults : 0)),
+        // Each kind of fault keeps its rate.
+        fault_rate_(kFaultRates.at(seed % kFaultRates.size()) *
+                    static_cast<double>(faults_) / kFaults) {
     for (std::size_t i = 0; i < kEndpoints; ++i) {
       endpoints_.push_back(std::make_unique<SimulatedEndpoint>(
           LeaseHolder{{"e" + std::to_string(i), ++incarnation_},
@@ -150,6 +158,13 @@
         {endpoints_[endpoint]->holder().ref.id, ++incarnation_});
   }
 
+  void RestartUnderOtherId(std::size_t endpoint) {
+    const std::int64_t incarnation = ++incarnation_;
+    endpoints_[endpoint]->Restart(
+        {"e" + std::to_string(endpoint) + "-" + std::to_string(incarnation),
+         incarnation});
+  }
+
   bool ReachesStore(const Gateway& gateway) const {
     return store_up_ && !gateway.store_cut;
   }
@@ -354,7 +369,12 @@
   void InjectFault() {
     const std::size_t gateway = Pick(kGateways);
     const std::size_t endpoint = Pick(kEndpoints);
-    switch (Pick(12)) {
+    const std::size_t fault = Pick(faults_);
+    if (fault >= kFaults) {
+      InjectHiddenRestart(fault - kFaults, gateway, endpoint);
+      return;
+    }
+    switch (fault) {
       case 0:
         elected_ = Pick(kGateways);
         break;
@@ -365,10 +385,7 @@
         StartGateway(gateway);
         break;
       case 3:
-        gateways_[gateway].store_cut = true;
-        if (elected_ == gateway) elected_ = Pick(kGateways);
-        After(Between(1'000, 30'000),
-              [this, gateway] { gateways_[gateway].store_cut = false; });
+        CutFromStore(gateway);
         break;
       case 4:
         gateways_[gateway].endpoint_cut[endpoint] = true;
@@ -419,6 +436,65 @@
     }
   }
 
+  void InjectHiddenRestart(std::size_t kind, std::size_t gateway,
+                           std::size_t endpoint) {
+    const bool same_id = kind == 0 || (kind > 1 && Chance(0.5));
+    switch (kind) {
+      case 2:  // a store outage for all gateways
+        store_up_ = false;
+        After(Between(500, 20'000), [this] { store_up_ = true; });
+        break;
+      case 3:  // a store outage for some gateways
+        for (std::size_t i = 0; i < kGateways; ++i) {
+          if (Chance(0.5)) CutFromStore(i);
+        }
+        break;
+      case 4:
+        late_call_rate_ = 0.4;
+        After(Between(2'000, 6'000), [this] { late_call_rate_ = 0; });
+        break;
+      case 5: {  // the leader was lost just before
+        const std::size_t leader = elected_;
+        if (Chance(0.5)) {
+          CutFromStore(leader);
+        } else {
+          gateways_[leader].paused_until = now_ + Between(500, 8'000);
+        }
+        elected_ = (leader + 1 + gateway % (kGateways - 1)) % kGateways;
+        After(Between(0, 1'000),
+              [this, endpoint, same_id] { RestartHidden(endpoint, same_id); });
+        return;
+      }
+      default:
+        break;
+    }
+    RestartHidden(endpoint, same_id);
+  }
+
+  void CutFromStore(std::size_t gateway) {
+    gateways_[gateway].store_cut = true;
+    if (elected_ == gateway) elected_ = Pick(kGateways);
+    After(Between(1'000, 30'000),
+          [this, gateway] { gateways_[gateway].store_cut = false; });
+  }
+
+  // Ends the endpoint's process and starts another one at its address. The
+  // registry shows the ended process for a while.
+  void RestartHidden(std::size_t endpoint, bool same_id) {
+    if (faults_cleared_) return;
+    endpoints_[endpoint]->up = false;
+    After(Between(50, 3'000), [this, endpoint, same_id] {
+      if (faults_cleared_) return;
+      if (same_id) {
+        RestartUnderSameId(endpoint);
+      } else {
+        RestartUnderOtherId(endpoint);
+      }
+      After(Between(0, kMaxRegistryDelayMs),
+            [this, endpoint] { Publish(endpoint); });
+    });
+  }
+
   void ClearFaults() {
     faults_cleared_ = true;
     store_up_ = true;
@@ -517,6 +593,7 @@
   std::mt19937 random_;
   LeaseKeeper::Guards guards_;
   SimulationOptions options_;
+  std::size_t faults_;
   double fault_rate_;
   BootTime now_{std::chrono::seconds(1'000)};
   std::uint64_t last_sequence_ = 0;
