--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -16,7 +16,12 @@
 // Probability of a new fault per step. At a low rate, long faults run their
 // course without another one.
 constexpr std::array<double, 3> kFaultRates{0.002, 0.006, 0.02};
+// Kinds of faults; those with hidden restarts come after the others.
+constexpr std::size_t kFaults = 12;
+constexpr std::size_t kHiddenRestartFaults = 6;
 constexpr Ms kFaultPhase{60'000};
+// Longer than a gateway renews leases under an old view.
+constexpr int kMaxRegistryDelayMs = 20'000;
 // Maximum view age, lease time and margins, and time for a few rounds of moves.
 constexpr Ms kRecoveryPhase{40'000};
 // Keys that are checked: the middle of each cell of 1,024 keys.
@@ -35,13 +40,21 @@
 
 class Simulation {
  public:
-  Simulation(std::uint32_t seed, LeaseKeeper::Guards guards)
+  Simulation(std::uint32_t seed, LeaseKeeper::Guards guards,
+             SimulationOptions options)
       : random_(seed),
         guards_(guards),
-        fault_rate_(kFaultRates.at(seed % kFaultRates.size())) {
+        options_(options),
+        faults_(kFaults + (options.hidden_restarts ? kHiddenRestartFaults : 0)),
+        // Each kind of fault keeps its rate.
+        fault_rate_(kFaultRates.at(seed % kFaultRates.size()) *
+                    static_cast<double>(faults_) / kFaults) {
     for (std::size_t i = 0; i < kEndpoints; ++i) {
-      endpoints_.push_back(std::make_unique<SimulatedEndpoint>(LeaseHolder{
-          {"e" + std::to_string(i), ++incarnation_}, "a" + std::to_string(i)}));
+      endpoints_.push_back(std::make_unique<SimulatedEndpoint>(
+          LeaseHolder{{"e" + std::to_string(i), ++incarnation_},
+                      "a" + std::to_string(i)},
+          options_));
+      registry_.push_back({endpoints_.back()->holder()});
     }
     gateways_.resize(kGateways);
     for (std::size_t i = 0; i < kGateways; ++i) StartGateway(i);
@@ -74,6 +87,17 @@
     std::size_t read_to = 0;  // number of log records read
     BootTime next_read;
   };
+  // What the registry shows of an address: it may be out of date.
+  struct RegistryEntry {
+    LeaseHolder holder;
+    bool listed = true;
+  };
+  // A grant that a process accepted.
+  struct Taken {
+    EndpointRef process;
+    std::uint64_t fence = 0;
+    bool operator==(const Taken&) const = default;
+  };
   struct Event {
     BootTime at;
     std::uint64_t sequence;
@@ -118,12 +142,29 @@
 
   std::vector<EligibleEndpoint> Registered() const {
     std::vector<EligibleEndpoint> all;
-    for (const auto& endpoint : endpoints_) {
-      if (endpoint->registered) all.push_back({endpoint->holder(), 2});
+    for (const RegistryEntry& entry : registry_) {
+      if (entry.listed) all.push_back({entry.holder, 2});
     }
     return all;
   }
 
+  // Makes the registry show the process that runs at the address.
+  void Publish(std::size_t endpoint) {
+    registry_[endpoint].holder = endpoints_[endpoint]->holder();
+  }
+
+  void RestartUnderSameId(std::size_t endpoint) {
+    endpoints_[endpoint]->Restart(
+        {endpoints_[endpoint]->holder().ref.id, ++incarnation_});
+  }
+
+  void RestartUnderOtherId(std::size_t endpoint) {
+    const std::int64_t incarnation = ++incarnation_;
+    endpoints_[endpoint]->Restart(
+        {"e" + std::to_string(endpoint) + "-" + std::to_string(incarnation),
+         incarnation});
+  }
+
   bool ReachesStore(const Gateway& gateway) const {
     return store_up_ && !gateway.store_cut;
   }
@@ -237,6 +278,11 @@
     return endpoints_[number]->up && !gateways_[gateway].endpoint_cut[number];
   }
 
+  static bool Runs(const SimulatedEndpoint& endpoint,
+                   const EndpointRef& process) {
+    return endpoint.up && endpoint.holder().ref == process;
+  }
+
   void Answer(std::size_t index, std::uint64_t call, CallOutcome outcome,
               Ms delay) {
     Deliver(index, delay, [this, call, outcome](LeaseKeeper& keeper) {
@@ -261,9 +307,11 @@
       After(late ? Between(2'000, 12'000) : Ms(0),
             [this, index, grant, late, arrival, target] {
               SimulatedEndpoint& endpoint = EndpointAt(grant.to);
-              // A delayed call is lost when the process ends.
-              if (!endpoint.up || endpoint.holder().ref != target) return;
-              const auto outcome = endpoint.Grant(grant, arrival, now_);
+              // A call is lost when the process ends.
+              const auto outcome = Runs(endpoint, target)
+                                       ? endpoint.Grant(grant, arrival, now_)
+                                       : CallOutcome::kUnanswered;
+              if (outcome == CallOutcome::kDone) CheckFences(endpoint, grant);
               if (!late) Answer(index, grant.id, outcome, Ms(1));
             });
     });
@@ -279,15 +327,16 @@
                     LeaseKeeper::kReleaseTimeout);
     }
     const bool late = Chance(late_call_rate_);
+    const EndpointRef target = EndpointAt(release.from).holder().ref;
     // Running requests on the keys have to finish first.
     After(late ? Between(2'000, 12'000) : Between(1, 1'000),
-          [this, index, release, late] {
+          [this, index, release, late, target] {
             SimulatedEndpoint& endpoint = EndpointAt(release.from);
-            if (endpoint.up) endpoint.Release(release);
-            if (late) return;
-            Answer(index, release.id,
-                   endpoint.up ? CallOutcome::kDone : CallOutcome::kUnanswered,
-                   Ms(1));
+            // A call is lost when the process ends.
+            const auto outcome = Runs(endpoint, target)
+                                     ? endpoint.Release(release)
+                                     : CallOutcome::kUnanswered;
+            if (!late) Answer(index, release.id, outcome, Ms(1));
           });
     if (late) {
       Answer(index, release.id, CallOutcome::kUnanswered,
@@ -320,7 +369,12 @@
   void InjectFault() {
     const std::size_t gateway = Pick(kGateways);
     const std::size_t endpoint = Pick(kEndpoints);
-    switch (Pick(12)) {
+    const std::size_t fault = Pick(faults_);
+    if (fault >= kFaults) {
+      InjectHiddenRestart(fault - kFaults, gateway, endpoint);
+      return;
+    }
+    switch (fault) {
       case 0:
         elected_ = Pick(kGateways);
         break;
@@ -331,10 +385,7 @@
         StartGateway(gateway);
         break;
       case 3:
-        gateways_[gateway].store_cut = true;
-        if (elected_ == gateway) elected_ = Pick(kGateways);
-        After(Between(1'000, 30'000),
-              [this, gateway] { gateways_[gateway].store_cut = false; });
+        CutFromStore(gateway);
         break;
       case 4:
         gateways_[gateway].endpoint_cut[endpoint] = true;
@@ -349,13 +400,14 @@
       case 6:  // a crash, then a restart under the same id
         endpoints_[endpoint]->up = false;
         After(Between(200, 6'000), [this, endpoint] {
-          endpoints_[endpoint]->Restart(++incarnation_);
+          RestartUnderSameId(endpoint);
+          Publish(endpoint);
         });
         break;
       case 7:  // the registry entry lapses although the endpoint is up
-        endpoints_[endpoint]->registered = false;
+        registry_[endpoint].listed = false;
         After(Between(1'000, 9'000),
-              [this, endpoint] { endpoints_[endpoint]->registered = true; });
+              [this, endpoint] { registry_[endpoint].listed = true; });
         break;
       case 8:
         late_call_rate_ = 0.4;
@@ -367,14 +419,14 @@
         break;
       case 10:  // only one gateway, without the store, reaches an endpoint
         gateways_[gateway].store_cut = true;
-        endpoints_[endpoint]->registered = false;
+        registry_[endpoint].listed = false;
         if (elected_ == gateway) elected_ = (gateway + 1) % kGateways;
         for (std::size_t i = 0; i < kGateways; ++i) {
           gateways_[i].endpoint_cut[endpoint] = i != gateway;
         }
         After(Between(10'000, 45'000), [this, gateway, endpoint] {
           gateways_[gateway].store_cut = false;
-          endpoints_[endpoint]->registered = true;
+          registry_[endpoint].listed = true;
           for (Gateway& other : gateways_) other.endpoint_cut[endpoint] = false;
         });
         break;
@@ -384,6 +436,65 @@
     }
   }
 
+  void InjectHiddenRestart(std::size_t kind, std::size_t gateway,
+                           std::size_t endpoint) {
+    const bool same_id = kind == 0 || (kind > 1 && Chance(0.5));
+    switch (kind) {
+      case 2:  // a store outage for all gateways
+        store_up_ = false;
+        After(Between(500, 20'000), [this] { store_up_ = true; });
+        break;
+      case 3:  // a store outage for some gateways
+        for (std::size_t i = 0; i < kGateways; ++i) {
+          if (Chance(0.5)) CutFromStore(i);
+        }
+        break;
+      case 4:
+        late_call_rate_ = 0.4;
+        After(Between(2'000, 6'000), [this] { late_call_rate_ = 0; });
+        break;
+      case 5: {  // the leader was lost just before
+        const std::size_t leader = elected_;
+        if (Chance(0.5)) {
+          CutFromStore(leader);
+        } else {
+          gateways_[leader].paused_until = now_ + Between(500, 8'000);
+        }
+        elected_ = (leader + 1 + gateway % (kGateways - 1)) % kGateways;
+        After(Between(0, 1'000),
+              [this, endpoint, same_id] { RestartHidden(endpoint, same_id); });
+        return;
+      }
+      default:
+        break;
+    }
+    RestartHidden(endpoint, same_id);
+  }
+
+  void CutFromStore(std::size_t gateway) {
+    gateways_[gateway].store_cut = true;
+    if (elected_ == gateway) elected_ = Pick(kGateways);
+    After(Between(1'000, 30'000),
+          [this, gateway] { gateways_[gateway].store_cut = false; });
+  }
+
+  // Ends the endpoint's process and starts another one at its address. The
+  // registry shows the ended process for a while.
+  void RestartHidden(std::size_t endpoint, bool same_id) {
+    if (faults_cleared_) return;
+    endpoints_[endpoint]->up = false;
+    After(Between(50, 3'000), [this, endpoint, same_id] {
+      if (faults_cleared_) return;
+      if (same_id) {
+        RestartUnderSameId(endpoint);
+      } else {
+        RestartUnderOtherId(endpoint);
+      }
+      After(Between(0, kMaxRegistryDelayMs),
+            [this, endpoint] { Publish(endpoint); });
+    });
+  }
+
   void ClearFaults() {
     faults_cleared_ = true;
     store_up_ = true;
@@ -394,9 +505,10 @@
       gateway.endpoint_cut = {};
       gateway.paused_until = now_;
     }
-    for (auto& endpoint : endpoints_) {
-      if (!endpoint->up) endpoint->Restart(++incarnation_);
-      endpoint->registered = true;
+    for (std::size_t i = 0; i < kEndpoints; ++i) {
+      if (!endpoints_[i]->up) RestartUnderSameId(i);
+      registry_[i].listed = true;
+      Publish(i);
     }
   }
 
@@ -408,15 +520,46 @@
       };
       if (std::ranges::count_if(endpoints_, holds) > 1) {
         result_.violation =
-            "key " + std::to_string(key) + " has two holders at " +
-            std::to_string(
-                std::chrono::duration_cast<Ms>(now_.time_since_epoch())
-                    .count()) +
-            " ms";
+            "key " + std::to_string(key) + " has two holders at " + Now();
+        for (const auto& endpoint : endpoints_ | std::views::filter(holds)) {
+          *result_.violation += ", " + endpoint->holder().ref.ToString() +
+                                " with fence " +
+                                std::to_string(endpoint->Fence(key));
+        }
       }
     }
   }
 
+  // Records that the process took the keys, and checks the fence against those
+  // with which other processes had them.
+  void CheckFences(const SimulatedEndpoint& endpoint, const GrantCall& grant) {
+    const Taken taken{endpoint.holder().ref, grant.fence};
+    for (std::size_t i = 0; i < kWatchedKeys; ++i) {
+      const ShardKey key = WatchedKey(i);
+      if (!grant.range.Contains(key)) continue;
+      std::vector<Taken>& earlier = taken_[key];
+      // The same process may take the same fence again.
+      if (std::ranges::find(earlier, taken) != earlier.end()) continue;
+      const auto other = std::ranges::find_if(earlier, [&](const Taken& had) {
+        return had.process != taken.process && had.fence >= taken.fence;
+      });
+      if (other != earlier.end() && !result_.fence_violation) {
+        result_.fence_violation = "key " + std::to_string(key) + " went to " +
+                                  taken.process.ToString() + " with fence " +
+                                  std::to_string(taken.fence) + " at " + Now() +
+                                  "; " + other->process.ToString() +
+                                  " had it with fence " +
+                                  std::to_string(other->fence);
+      }
+      earlier.push_back(taken);
+    }
+  }
+
+  std::string Now() const {
+    const auto time = std::chrono::duration_cast<Ms>(now_.time_since_epoch());
+    return std::to_string(time.count()) + " ms";
+  }
+
   std::string Describe(ShardKey key) const {
     std::string text = "elected gateway " + std::to_string(elected_) +
                        ", log " + std::to_string(log_.size());
@@ -449,12 +592,16 @@
 
   std::mt19937 random_;
   LeaseKeeper::Guards guards_;
+  SimulationOptions options_;
+  std::size_t faults_;
   double fault_rate_;
   BootTime now_{std::chrono::seconds(1'000)};
   std::uint64_t last_sequence_ = 0;
   std::int64_t incarnation_ = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> events_;
   std::vector<std::unique_ptr<SimulatedEndpoint>> endpoints_;
+  std::vector<RegistryEntry> registry_;  // by the endpoint's number
+  std::map<ShardKey, std::vector<Taken>> taken_;
   std::vector<Gateway> gateways_;
   std::vector<LeaseTable> log_;
   bool store_up_ = true;
@@ -473,10 +620,16 @@
   return keys_[key];
 }
 
+// TODO(issue 17): an outcome that tells this refusal from no answer.
+bool SimulatedEndpoint::IsForAnother(const LeaseHolder& named) const {
+  return options_.calls_name_endpoint && named.ref.id != holder_.ref.id;
+}
+
 CallOutcome SimulatedEndpoint::Grant(const GrantCall& call, BootTime arrival,
                                      BootTime now) {
   // A call does not name an incarnation: a later one at the address accepts it
   // as well.
+  if (IsForAnother(call.to)) return CallOutcome::kUnanswered;
   std::vector<ShardKey> keys;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     if (call.range.Contains(WatchedKey(i))) keys.push_back(WatchedKey(i));
@@ -495,7 +648,8 @@
   return CallOutcome::kDone;
 }
 
-void SimulatedEndpoint::Release(const ReleaseCall& call) {
+CallOutcome SimulatedEndpoint::Release(const ReleaseCall& call) {
+  if (IsForAnother(call.from)) return CallOutcome::kUnanswered;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     const ShardKey key = WatchedKey(i);
     if (!call.range.Contains(key)) continue;
@@ -503,6 +657,7 @@
     state.highest_fence = std::max(state.highest_fence, call.fence);
     state.end = {};
   }
+  return CallOutcome::kDone;
 }
 
 bool SimulatedEndpoint::Holds(ShardKey key, BootTime now) const {
@@ -510,15 +665,21 @@
   return found != keys_.end() && now < found->second.end;
 }
 
-void SimulatedEndpoint::Restart(std::int64_t incarnation) {
-  holder_.ref.incarnation = incarnation;
+std::uint64_t SimulatedEndpoint::Fence(ShardKey key) const {
+  const auto found = keys_.find(key);
+  return found == keys_.end() ? 0 : found->second.fence;
+}
+
+void SimulatedEndpoint::Restart(EndpointRef process) {
+  holder_.ref = std::move(process);
   keys_.clear();
   up = true;
 }
 
 SimulationResult RunLeaseSimulation(std::uint32_t seed,
-                                    LeaseKeeper::Guards guards) {
-  return Simulation(seed, guards).Run();
+                                    LeaseKeeper::Guards guards,
+                                    SimulationOptions options) {
+  return Simulation(seed, guards, options).Run();
 }
 
 }  // namespace balsamhall::gateway
