--- a/Source/gateway/backend_dialect.h
+++ b/Source/gateway/backend_dialect.h
@@ -55,14 +55,12 @@
       unsigned status, const CallerRequest& request,
       std::optional<Milliseconds> retry_after, ResultCode code) const = 0;
 
-  // Lease calls to an endpoint and the result of either.
+  // Lease calls to an endpoint, which any other endpoint refuses.
   virtual HttpRequest ToGrant(const GrantCall& call) const = 0;
   virtual HttpRequest ToRelease(const ReleaseCall& call) const = 0;
-  struct CallResult {
-    CallOutcome outcome = CallOutcome::kUnanswered;
-    std::string handover;
-  };
-  virtual CallResult ReadCallResult(const HttpResponse& response) const = 0;
+  // Reads the response to either. endpoint: for which the call was meant.
+  virtual CallResult ReadCallResult(const EndpointRef& endpoint,
+                                    const HttpResponse& response) const = 0;
 };
 
 }  // namespace balsamhall::gateway
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -60,6 +60,8 @@
 constexpr std::size_t kAssumedGateways = 32;
 // Maximum number of key samples per service between two reports.
 constexpr std::size_t kMaxKeySamples = 4'000;
+// Maximum number of executed keys that are kept for a connection.
+constexpr std::size_t kMaxExecutedKeys = 512;
 
 SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
@@ -380,7 +382,7 @@
   ServiceState& service = *exchange->service;
   exchange->client = nullptr;
   if (outcome.response) {
-    OnResponse(*exchange, std::move(*outcome.response));
+    OnResponse(*exchange, std::move(*outcome.response), outcome.connection);
   } else {
     const HttpFailure failure = outcome.error.failure;
     const EndpointFailure kind =
@@ -395,7 +397,8 @@
   ScheduleTimer();
 }
 
-void Forwarder::OnResponse(Exchange& exchange, HttpResponse response) {
+void Forwarder::OnResponse(Exchange& exchange, HttpResponse response,
+                           std::uint64_t connection) {
   const auto now = Now();
   const BackendResponse backend_response =
       dialect_.ReadBackendResponse(response);
@@ -421,6 +424,7 @@
     return OnAttemptFailed(exchange, EndpointFailure::kBadResponse, false,
                            "response without the endpoint's mark");
   }
+  if (success) RecordExecutedKey(exchange, connection);
   if (response.status >= 500) {
     exchange.may_have_run = true;
     scheduler.OnFailure(exchange.id, exchange.endpoint.ref,
@@ -449,6 +453,41 @@
          success ? "served" : "endpoint_error");
 }
 
+void Forwarder::RecordExecutedKey(const Exchange& exchange,
+                                  std::uint64_t connection) {
+  if (!exchange.job.key || !exchange.service->leases) return;
+  std::vector<ShardKey>& keys = executed_keys_[{
+      exchange.endpoint.ref, exchange.endpoint.address}][connection];
+  const auto position = std::ranges::lower_bound(keys, *exchange.job.key);
+  const bool known = position != keys.end() && *position == *exchange.job.key;
+  if (!known && keys.size() < kMaxExecutedKeys) {
+    keys.insert(position, *exchange.job.key);
+  }
+}
+
+bool Forwarder::SendOnRequestConnection(const LeaseHolder& holder,
+                                        const KeyRange& range,
+                                        HttpRequest request,
+                                        Milliseconds timeout,
+                                        HttpClient::Callback done) {
+  const auto client = clients_.find({holder.ref, holder.address});
+  const auto executed = executed_keys_.find({holder.ref, holder.address});
+  if (client == clients_.end() || executed == executed_keys_.end()) {
+    return false;
+  }
+  const auto idle = client->second->IdleConnections();
+  const auto connection = std::ranges::find_if(idle, [&](std::uint64_t number) {
+    const auto keys = executed->second.find(number);
+    if (keys == executed->second.end()) return false;
+    const auto key = std::ranges::lower_bound(keys->second, range.first);
+    return key != keys->second.end() && range.Contains(*key);
+  });
+  if (connection == idle.end()) return false;
+  client->second->SendOn(*connection, std::move(request), timeout,
+                         std::move(done));
+  return true;
+}
+
 void Forwarder::OnNotExecuted(Exchange& exchange,
                               const BackendResponse& backend_response,
                               unsigned status) {
@@ -785,6 +824,15 @@
         });
     return !registered && !in_use;
   });
+  std::erase_if(executed_keys_, [this](const auto& entry) {
+    return !clients_.contains(entry.first);
+  });
+  for (auto& [endpoint, connections] : executed_keys_) {
+    std::erase_if(connections,
+                  [&client = *clients_.at(endpoint)](const auto& connection) {
+                    return !client.IsOpen(connection.first);
+                  });
+  }
 }
 
 }  // namespace balsamhall::gateway
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -64,6 +64,13 @@
   // Scheduler::Capacities.
   std::map<EndpointRef, double> Capacities(const ServiceId& service) const;
 
+  // Sends a lease call on a connection on which the holder has executed a
+  // request for a key of the range; done runs as with HttpClient::Send. Returns
+  // false if there is no such connection that is not in use.
+  bool SendOnRequestConnection(const LeaseHolder& holder, const KeyRange& range,
+                               HttpRequest request, Milliseconds timeout,
+                               HttpClient::Callback done);
+
   // Number of requests in progress.
   std::size_t pending() const { return exchanges_.size(); }
 
@@ -91,7 +98,9 @@
   void Send(Exchange& exchange, const Placement& placement);
   void OnOutcome(std::uint64_t id, std::uint64_t attempt_id,
                  AttemptOutcome outcome);
-  void OnResponse(Exchange& exchange, HttpResponse response);
+  void OnResponse(Exchange& exchange, HttpResponse response,
+                  std::uint64_t connection);
+  void RecordExecutedKey(const Exchange& exchange, std::uint64_t connection);
   void OnNotExecuted(Exchange& exchange,
                      const BackendResponse& backend_response, unsigned status);
   void OnAttemptFailed(Exchange& exchange, EndpointFailure failure,
@@ -124,6 +133,10 @@
   std::map<ServiceId, std::unique_ptr<ServiceState>> services_;
   std::map<std::pair<EndpointRef, std::string>, std::unique_ptr<HttpClient>>
       clients_;
+  // Keys of requests that the endpoint has executed, sorted, by connection.
+  std::map<std::pair<EndpointRef, std::string>,
+           std::map<std::uint64_t, std::vector<ShardKey>>>
+      executed_keys_;
   std::vector<EndpointInfo> endpoints_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
   std::unordered_map<std::uint64_t, std::uint64_t> by_connection_;
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -94,10 +94,12 @@
   void JoinElection();
   void ReportKeyLoad();
   void Apply(LeaseKeeper& keeper, const LeaseAction& action);
-  // name: of the call, for the metrics.
-  void SendCall(LeaseKeeper& keeper, std::uint64_t call, const char* name,
-                const std::string& address, HttpRequest request,
-                Milliseconds timeout);
+  void SendGrant(LeaseKeeper& keeper, const GrantCall& grant);
+  void SendRelease(LeaseKeeper& keeper, const ReleaseCall& release);
+  void OnCallOutcome(LeaseKeeper& keeper, std::uint64_t call, const char* name,
+                     const EndpointRef& endpoint,
+                     const HttpClient::Outcome& outcome);
+  HttpClient& CallClientOf(const std::string& address);
   void OnPeerRequest(const HttpRequest& request,
                      const HttpServer::Respond& respond);
   void RequestPeerState();
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -11,6 +11,10 @@
 // leader has to be replaced before the leases that it granted expire.
 constexpr Milliseconds kJoinInterval{400};
 constexpr Milliseconds kJoinTimeToLive{1'200};
+// A lease connection is used at each renewal; the others are closed after this
+// time.
+constexpr Milliseconds kMaxCallIdle{6'000};
+constexpr Milliseconds kCallConnectTimeout{250};
 
 template <class... Visitors>
 struct Overloaded : Visitors... {
@@ -90,7 +94,7 @@
     return;
   }
   const auto moving =
-      std::ranges::count(table.ranges, false, &RangeLease::granted);
+      std::ranges::count(table.ranges, false, &RangeLease::OwnerHolds);
   LogInfo("lease_table", {{"service", table.service},
                           {"version", std::to_string(table.version)},
                           {"source", source},
@@ -127,6 +131,9 @@
 void Gateway::Impl::ReportKeyLoad() {
   RunAfter(report_timer_, kReportInterval, [this] { ReportKeyLoad(); });
   forwarder_.Clean();
+  for (auto& client : call_clients_ | std::views::values) {
+    client->CloseExpired();
+  }
   const BootTime now = BootClock::now();
   for (auto& [service, keys] : forwarder_.TakeKeySamples()) {
     const auto found = keepers_.find(service);
@@ -145,26 +152,67 @@
   }
 }
 
-void Gateway::Impl::SendCall(LeaseKeeper& keeper, std::uint64_t call,
-                             const char* name, const std::string& address,
-                             HttpRequest request, Milliseconds timeout) {
-  ClientOf(call_clients_, address)
-      .Send(std::move(request), timeout,
-            [this, &keeper, call, name](const HttpClient::Outcome& outcome) {
-              BackendDialect::CallResult result;
-              if (outcome.response) {
-                result = dialect_.ReadCallResult(*outcome.response);
-              } else if (outcome.error.failure == HttpFailure::kNotSent) {
-                result.outcome = CallOutcome::kNotSent;
-              }
-              metrics_.Add("lease_calls_total",
-                           std::string("call=\"") + name + "\",outcome=\"" +
-                               std::string(CallOutcomeName(result.outcome)) +
-                               "\"",
-                           1);
-              keeper.OnCallResult(call, result.outcome,
-                                  std::move(result.handover), BootClock::now());
-            });
+HttpClient& Gateway::Impl::CallClientOf(const std::string& address) {
+  auto& client = call_clients_[address];
+  if (!client) {
+    HttpClientOptions options;
+    options.connect_timeout = kCallConnectTimeout;
+    options.max_idle = kMaxCallIdle;
+    // Each connection stands for the lease that was granted on it.
+    options.close_older_after_failure = false;
+    client = std::make_unique<HttpClient>(loop_, address, options);
+  }
+  return *client;
+}
+
+// name: of the call, for the metrics. endpoint: for which it was meant.
+void Gateway::Impl::OnCallOutcome(LeaseKeeper& keeper, std::uint64_t call,
+                                  const char* name, const EndpointRef& endpoint,
+                                  const HttpClient::Outcome& outcome) {
+  CallResult result;
+  if (outcome.response) {
+    result = dialect_.ReadCallResult(endpoint, *outcome.response);
+  } else if (outcome.error.failure == HttpFailure::kNotSent) {
+    result.outcome = CallOutcome::kNotSent;
+  }
+  metrics_.Add("lease_calls_total",
+               std::string("call=\"") + name + "\",outcome=\"" +
+                   std::string(CallOutcomeName(result.outcome)) + "\"",
+               1);
+  keeper.OnCallResult(call, std::move(result), BootClock::now());
+}
+
+void Gateway::Impl::SendGrant(LeaseKeeper& keeper, const GrantCall& grant) {
+  const auto done = [this, &keeper, call = grant.id, endpoint = grant.to.ref](
+                        const HttpClient::Outcome& outcome) {
+    OnCallOutcome(keeper, call, "grant", endpoint, outcome);
+  };
+  HttpRequest request = dialect_.ToGrant(grant);
+  constexpr Milliseconds kTimeout = LeaseKeeper::kCallTimeout;
+  std::visit(Overloaded{[&](const LeaseConnection& connection) {
+                          CallClientOf(grant.to.address)
+                              .SendOn(connection.number, std::move(request),
+                                      kTimeout, done);
+                        },
+                        [&](const RequestConnection&) {
+                          if (!forwarder_.SendOnRequestConnection(
+                                  grant.to, grant.range, std::move(request),
+                                  kTimeout, done)) {
+                            done({});
+                          }
+                        }},
+             grant.connection);
+}
+
+void Gateway::Impl::SendRelease(LeaseKeeper& keeper,
+                                const ReleaseCall& release) {
+  CallClientOf(release.from.address)
+      .SendOnNew(
+          dialect_.ToRelease(release), LeaseKeeper::kReleaseTimeout,
+          [this, &keeper, call = release.id,
+           endpoint = release.from.ref](const HttpClient::Outcome& outcome) {
+            OnCallOutcome(keeper, call, "release", endpoint, outcome);
+          });
 }
 
 void Gateway::Impl::Apply(LeaseKeeper& keeper, const LeaseAction& action) {
@@ -189,14 +237,15 @@
                   leases_follower_->ReadNow();
                 });
           },
-          [&](const GrantCall& grant) {
-            SendCall(keeper, grant.id, "grant", grant.to.address,
-                     dialect_.ToGrant(grant), LeaseKeeper::kCallTimeout);
-          },
-          [&](const ReleaseCall& release) {
-            SendCall(keeper, release.id, "release", release.from.address,
-                     dialect_.ToRelease(release), LeaseKeeper::kReleaseTimeout);
+          [&](const OpenConnection& open) {
+            CallClientOf(open.to.address)
+                .Open([&keeper,
+                       id = open.id](const HttpClient::Outcome& outcome) {
+                  keeper.OnConnection(id, outcome.connection, BootClock::now());
+                });
           },
+          [&](const GrantCall& grant) { SendGrant(keeper, grant); },
+          [&](const ReleaseCall& release) { SendRelease(keeper, release); },
           [&](const PublishTable& publish) {
             const std::string target = "/table/" + publish.table.service + "/" +
                                        std::to_string(publish.table.version);
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -26,6 +26,8 @@
 constexpr Milliseconds kRegistrySettleTime{1'000};
 constexpr Milliseconds kPlanInterval{1'000};
 constexpr Milliseconds kUrgentPlanInterval{50};
+// Fences that are due together share a record.
+constexpr Milliseconds kFenceRaiseInterval{250};
 // Minimum load, in requests, for moves that balance load; fewer requests are
 // too small a sample.
 constexpr double kMinLoadToBalance = 60;
@@ -64,6 +66,8 @@
       return "done";
     case CallOutcome::kRefused:
       return "refused";
+    case CallOutcome::kOtherEndpoint:
+      return "other_endpoint";
     case CallOutcome::kNotSent:
       return "not_sent";
     case CallOutcome::kUnanswered:
@@ -118,8 +122,9 @@
 
 void LeaseKeeper::OnTable(LeaseTable table, BootTime now) {
   if (table.version <= table_.version) return;
+  table.service = service_;
+  KeepProgressOfParts(table);
   table_ = std::move(table);
-  table_.service = service_;
   table_adopted_at_ = now;
   // Ranges that are still in the table keep their progress.
   std::erase_if(progress_, [this](const auto& entry) {
@@ -127,6 +132,10 @@
       return RangeKey{lease.fence, lease.range.first} == entry.first;
     });
   });
+  std::erase_if(openings_, [this](const auto& entry) {
+    const RangeLease& lease = entry.second;
+    return !progress_.contains({lease.fence, lease.range.first});
+  });
   std::erase_if(calls_, [this](const auto& entry) {
     const Call& call = entry.second;
     if (progress_.contains({call.lease.fence, call.lease.range.first})) {
@@ -137,6 +146,26 @@
   });
 }
 
+// A part of a range has the lease, and its connection, of the whole range.
+void LeaseKeeper::KeepProgressOfParts(const LeaseTable& next) {
+  for (const RangeLease& part : next.ranges) {
+    const RangeKey key{part.fence, part.range.first};
+    const RangeLease* const whole = table_.Find(part.range.first);
+    if (progress_.contains(key) || whole == nullptr ||
+        whole->fence != part.fence) {
+      continue;
+    }
+    const auto found = progress_.find({whole->fence, whole->range.first});
+    if (found == progress_.end()) continue;
+    Progress progress = found->second;
+    progress.call = 0;
+    progress.opening = 0;
+    // Two parts take turns in using the connection.
+    progress.next_call += kRenewInterval / 2;
+    progress_.emplace(key, std::move(progress));
+  }
+}
+
 void LeaseKeeper::OnLogEnd(std::uint64_t end, BootTime as_of) {
   log_end_ = std::max(log_end_, end);
   log_end_known_ = true;
@@ -163,6 +192,15 @@
     next_plan_ = std::min(next_plan_, now);
   }
   endpoints_ = std::move(endpoints);
+  std::erase_if(ended_, [this](const LeaseHolder& holder) {
+    return std::ranges::none_of(endpoints_,
+                                [&](const auto& endpoint) {
+                                  return endpoint.holder == holder;
+                                }) &&
+           std::ranges::none_of(table_.ranges, [&](const RangeLease& lease) {
+             return lease.owner == holder || lease.previous == holder;
+           });
+  });
 }
 
 LeaseKeeper::Progress& LeaseKeeper::ProgressOf(const RangeLease& lease) {
@@ -194,30 +232,77 @@
   return end;
 }
 
+void LeaseKeeper::Open(const RangeLease& lease, Progress& progress,
+                       BootTime now, std::vector<LeaseAction>& actions) {
+  if (progress.opening != 0 || now < progress.next_opening) return;
+  progress.opening = ++last_call_;
+  openings_[progress.opening] = lease;
+  actions.emplace_back(OpenConnection{progress.opening, lease.owner});
+}
+
+void LeaseKeeper::OnConnection(std::uint64_t id, std::uint64_t connection,
+                               BootTime now) {
+  const auto found = openings_.find(id);
+  if (found == openings_.end()) return;
+  const RangeLease lease = std::move(found->second);
+  openings_.erase(found);
+  Progress& progress = ProgressOf(lease);
+  if (progress.opening != id) return;
+  progress.opening = 0;
+  progress.connection = connection;
+  progress.connected_at = now;
+  if (connection != 0) return;
+  progress.next_opening = now + kCallRetryDelay;
+  RecordFailure(lease.owner.ref, now);
+}
+
 void LeaseKeeper::SendGrant(const RangeLease& lease, Progress& progress,
-                            BootTime now, std::vector<LeaseAction>& actions) {
+                            GrantConnection connection, BootTime now,
+                            std::vector<LeaseAction>& actions) {
   progress.call = ++last_call_;
   progress.releasing = false;
-  calls_[progress.call] = {lease, now + kCallTimeout + MaxLeaseTime()};
+  progress.sent = true;
+  calls_[progress.call] = {lease, now + kCallTimeout + MaxLeaseTime(),
+                           connection};
   last_renewal_ = now;
   actions.emplace_back(GrantCall{progress.call, lease.owner, lease.range,
-                                 lease.fence, kLeaseTime, progress.handover});
+                                 lease.fence, kLeaseTime, progress.handover,
+                                 connection});
 }
 
 void LeaseKeeper::RenewLeases(BootTime now, Milliseconds interval,
                               std::vector<LeaseAction>& actions) {
   if (!MayRenew(now)) return;
   for (const RangeLease& lease : table_.ranges) {
-    if (!lease.granted || IsSuperseded(lease.owner)) continue;
+    if (IsSuperseded(lease.owner)) continue;
     Progress& progress = ProgressOf(lease);
-    if (progress.call != 0 || progress.refused || now < progress.next_call) {
+    if (!(lease.granted || progress.granted) || progress.call != 0 ||
+        progress.refused || now < progress.next_call) {
+      continue;
+    }
+    if (!guards_.bind_lease_to_connection && progress.connection == 0) {
+      Open(lease, progress, now, actions);
       continue;
     }
     progress.next_call = now + interval;
-    SendGrant(lease, progress, now, actions);
+    GrantConnection connection = RequestConnection{};
+    if (progress.connection != 0) {
+      connection = LeaseConnection{progress.connection};
+    }
+    SendGrant(lease, progress, connection, now, actions);
   }
 }
 
+// Records that another endpoint responded at the holder's address.
+void LeaseKeeper::RecordEnd(const LeaseHolder& holder, BootTime now) {
+  if (std::ranges::find(ended_, holder) != ended_.end()) return;
+  ended_.push_back(holder);
+  next_plan_ = now;
+  AddEvent("endpoint_ended", holder.ref.ToString() +
+                                 ", another endpoint responds at " +
+                                 holder.address);
+}
+
 void LeaseKeeper::RecordFailure(const EndpointRef& endpoint, BootTime now) {
   Failures& failures = failures_[endpoint];
   if (failures.count++ == 0) failures.since = now;
@@ -231,12 +316,13 @@
   }
 }
 
-void LeaseKeeper::OnCallResult(std::uint64_t call, CallOutcome outcome,
-                               std::string handover, BootTime now) {
+void LeaseKeeper::OnCallResult(std::uint64_t call, CallResult result,
+                               BootTime now) {
   const auto found = calls_.find(call);
   if (found == calls_.end()) return;
-  const auto [lease, lease_end] = found->second;
+  const auto [lease, lease_end, connection] = found->second;
   calls_.erase(found);
+  const CallOutcome outcome = result.outcome;
   const bool done = outcome == CallOutcome::kDone;
   // A lease starts when its grant arrives, which is before the response.
   if (done) {
@@ -248,37 +334,56 @@
   if (progress.call != call) return;
   progress.call = 0;
   AddCallEvents(lease, progress, outcome);
-  const EndpointRef& called =
-      progress.releasing ? lease.previous.ref : lease.owner.ref;
+  const LeaseHolder& called = progress.releasing ? lease.previous : lease.owner;
+  if (outcome == CallOutcome::kOtherEndpoint) RecordEnd(called, now);
   if (done || outcome == CallOutcome::kRefused) {
-    failures_[called] = {};
+    failures_[called.ref] = {};
     progress.failures = 0;
   } else {
     ++progress.failures;
     progress.next_call = now + kCallRetryDelay;
     // A release waits for running requests to finish, so a timeout does not
-    // show that the endpoint is unreachable.
+    // show that the endpoint is unreachable; nor does a missing connection.
     const bool slow_release =
         progress.releasing && outcome == CallOutcome::kUnanswered;
-    if (!slow_release) RecordFailure(called, now);
+    const bool no_connection =
+        !progress.releasing && outcome == CallOutcome::kNotSent;
+    if (!slow_release && !no_connection) RecordFailure(called.ref, now);
     if (progress.releasing) progress.release_failed = true;
   }
-  if (progress.releasing) {
-    if (done) {
-      progress.released = true;
-      progress.handover = std::move(handover);
-      progress.next_call = now;
-    }
-    return;
+  if (!progress.releasing) {
+    return OnGrantResult(lease, progress, connection, outcome);
   }
   if (done) {
-    progress.granted = true;
-    progress.handover.clear();
-  } else if (outcome == CallOutcome::kRefused) {
-    progress.refused = true;
-    AddEvent("grant_refused", lease.range.ToString() + " at " +
-                                  lease.owner.ref.ToString() + " fence " +
-                                  std::to_string(lease.fence));
+    progress.released = true;
+    progress.handover = std::move(result.handover);
+    progress.next_call = now;
+  }
+}
+
+void LeaseKeeper::OnGrantResult(const RangeLease& lease, Progress& progress,
+                                const GrantConnection& connection,
+                                CallOutcome outcome) {
+  switch (outcome) {
+    case CallOutcome::kDone:
+      progress.granted = true;
+      return progress.handover.clear();
+    case CallOutcome::kRefused:
+      progress.refused = true;
+      return AddEvent("grant_refused", lease.range.ToString() + " at " +
+                                           lease.owner.ref.ToString() +
+                                           " fence " +
+                                           std::to_string(lease.fence));
+    case CallOutcome::kNotSent:
+      // A first grant can be sent on another connection.
+      if (!lease.granted && !progress.granted) progress.sent = false;
+      break;
+    case CallOutcome::kOtherEndpoint:
+    case CallOutcome::kUnanswered:
+      break;
+  }
+  if (std::holds_alternative<LeaseConnection>(connection)) {
+    progress.connection = 0;
   }
 }
 
@@ -305,9 +410,10 @@
   return end;
 }
 
-// Returns whether there is a later incarnation under the holder's id or a later
-// endpoint at its address.
+// Returns whether there is a later incarnation under the holder's id or another
+// or later endpoint at its address.
 bool LeaseKeeper::IsSuperseded(const LeaseHolder& holder) const {
+  if (std::ranges::find(ended_, holder) != ended_.end()) return true;
   const auto successor = addresses_.find(holder.address);
   return (successor != addresses_.end() &&
           successor->second.ref.incarnation > holder.ref.incarnation) ||
@@ -318,11 +424,12 @@
          });
 }
 
-// Returns whether no lease of the holder can be running. A call reaches
-// whichever endpoint serves at the address, so a successor that takes leases
-// may have accepted grants that were meant for the ended holder. It then has to
+// Returns whether no lease of the holder can be running. A new connection
+// reaches whichever process serves at the address, so a later incarnation may
+// have accepted a grant that was meant for the ended one. It then has to
 // release the keys.
 bool LeaseKeeper::HasEnded(const LeaseHolder& holder) const {
+  if (std::ranges::find(ended_, holder) != ended_.end()) return true;
   if (!IsSuperseded(holder)) return false;
   const auto successor = addresses_.find(holder.address);
   return successor == addresses_.end() || !successor->second.takes_leases;
@@ -331,26 +438,35 @@
 bool LeaseKeeper::PreviousLeaseEnded(const RangeLease& lease,
                                      const Progress& progress,
                                      BootTime now) const {
-  return lease.previous.ref.empty() || progress.released ||
-         HasEnded(lease.previous) || !guards_.wait_for_old_leases ||
+  return lease.previous.ref.empty() || lease.previous == lease.owner ||
+         progress.released || progress.sent || HasEnded(lease.previous) ||
+         !guards_.wait_for_old_leases ||
          now >= PreviousLeaseEnd(lease.previous);
 }
 
 void LeaseKeeper::MoveRange(const RangeLease& lease, BootTime now,
                             std::vector<LeaseAction>& actions) {
   Progress& progress = ProgressOf(lease);
-  if (progress.granted || progress.refused) return;
+  if (progress.granted || progress.refused || NeedsHigherFence(lease)) return;
+  if (progress.connection == 0) Open(lease, progress, now, actions);
   const bool releasing = progress.call != 0 && progress.releasing;
   if ((progress.call != 0 && !releasing) || now < progress.next_call) return;
   if (PreviousLeaseEnded(lease, progress, now)) {
+    if (progress.connection == 0) return;
+    if (confirmed_at_ < progress.connected_at) {
+      actions.emplace_back(RereadLog{});
+      return;
+    }
     // The response to a pending release is no longer needed.
     calls_.erase(progress.call);
-    return SendGrant(lease, progress, now, actions);
+    progress.next_call = now + kRenewInterval;
+    return SendGrant(lease, progress, LeaseConnection{progress.connection}, now,
+                     actions);
   }
   if (releasing) return;
   progress.call = ++last_call_;
   progress.releasing = true;
-  calls_[progress.call] = {lease, BootTime{}};
+  calls_[progress.call] = {lease, BootTime{}, {}};
   actions.emplace_back(
       ReleaseCall{progress.call, lease.previous, lease.range, lease.fence});
 }
@@ -445,7 +561,46 @@
     return true;
   }
   AddEvent("mover_takeover", "from " + table_.leader.id);
-  return Append(table_, now, actions);
+  // The previous leader's connections to the holders are not known here.
+  LeaseTable next = table_;
+  std::ranges::for_each(next.ranges, [this](RangeLease& lease) {
+    if (lease.granted) lease.previous = lease.owner;
+    lease.fence = log_end_ + 1;
+    lease.granted = false;
+  });
+  return Append(std::move(next), now, actions);
+}
+
+// Returns whether the process that accepted the fence, or may have accepted it,
+// can no longer be told from a later one.
+bool LeaseKeeper::NeedsHigherFence(const RangeLease& lease) const {
+  if (!guards_.bind_lease_to_connection) return false;
+  const auto found = progress_.find({lease.fence, lease.range.first});
+  if (found == progress_.end()) return lease.granted;
+  const Progress& progress = found->second;
+  return progress.call == 0 && progress.connection == 0 && !progress.refused &&
+         (lease.granted || progress.sent);
+}
+
+// Assigns a higher fence to leases whose connection is lost.
+bool LeaseKeeper::RaiseFences(BootTime now, std::vector<LeaseAction>& actions) {
+  if (now < next_fence_raise_) return false;
+  LeaseTable next = table_;
+  std::size_t raised = 0;
+  for (RangeLease& lease : next.ranges) {
+    if (!NeedsHigherFence(lease) || IsSuperseded(lease.owner)) continue;
+    // Only the owner can hold the keys: an unconfirmed grant is sent only after
+    // the leases of the previous holder have ended.
+    lease.previous = lease.owner;
+    lease.fence = log_end_ + 1;
+    lease.granted = false;
+    ++raised;
+  }
+  if (raised == 0) return false;
+  next_fence_raise_ = now + kFenceRaiseInterval;
+  AddEvent("fences_raised", std::to_string(raised) + " ranges to fence " +
+                                std::to_string(log_end_ + 1));
+  return Append(std::move(next), now, actions);
 }
 
 // Makes gateways that joined since the last record renewers as well.
@@ -500,10 +655,13 @@
         many ? "many_unreachable" : "few_unreachable",
         std::to_string(count) + " of " + std::to_string(endpoints_.size()));
   }
-  if (many) return endpoints_;
   std::vector<EligibleEndpoint> usable;
   std::ranges::copy_if(endpoints_, std::back_inserter(usable),
-                       std::not_fn(unreachable));
+                       [&](const EligibleEndpoint& endpoint) {
+                         return std::ranges::find(ended_, endpoint.holder) ==
+                                    ended_.end() &&
+                                (many || !unreachable(endpoint));
+                       });
   return usable;
 }
 
@@ -611,8 +769,9 @@
     actions.emplace_back(RereadLog{});
     return actions;
   }
-  if (TakeOver(now, actions) || ConfirmGrants(now, actions) ||
-      PlanChanges(now, actions) || AddMissingRenewers(now, actions)) {
+  if (TakeOver(now, actions) || RaiseFences(now, actions) ||
+      ConfirmGrants(now, actions) || PlanChanges(now, actions) ||
+      AddMissingRenewers(now, actions)) {
     return actions;
   }
   return actions;
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -23,7 +23,26 @@
   LeaseTable table;
   std::optional<std::uint64_t> expected_end;
 };
-// Grants an endpoint a lease on a range, or renews it.
+// Opens a connection to an endpoint for a LeaseConnection.
+struct OpenConnection {
+  std::uint64_t id = 0;
+  LeaseHolder to;
+};
+// Connection for a grant. A lease belongs to the process that accepted it, but
+// a new connection leads to whichever process serves at the address, also to a
+// later one under the same id.
+//
+// One that was opened for this lease, before its first grant.
+struct LeaseConnection {
+  std::uint64_t number = 0;
+};
+// One on which the endpoint has executed a request for a key of the range, so
+// that it leads to the process that holds the lease, or has a higher fence.
+struct RequestConnection {};
+using GrantConnection = std::variant<LeaseConnection, RequestConnection>;
+
+// Grants an endpoint a lease on a range, or renews it. The call is not sent if
+// there is no such connection.
 struct GrantCall {
   std::uint64_t id = 0;
   LeaseHolder to;
@@ -31,8 +50,10 @@
   std::uint64_t fence = 0;
   Milliseconds lease_time{0};
   std::string handover;  // from the previous holder's release, if any
+  GrantConnection connection;
 };
 // Makes an endpoint give up a range. fence: that of the next holder's lease.
+// Needs a new connection, on which no earlier response can arrive.
 struct ReleaseCall {
   std::uint64_t id = 0;
   LeaseHolder from;
@@ -47,19 +68,26 @@
 // Reads the log again at once, because the known table may be out of date.
 struct RereadLog {};
 
-using LeaseAction =
-    std::variant<AppendTable, GrantCall, ReleaseCall, PublishTable, RereadLog>;
+using LeaseAction = std::variant<AppendTable, OpenConnection, GrantCall,
+                                 ReleaseCall, PublishTable, RereadLog>;
 
 enum class CallOutcome {
   kDone,
-  kRefused,     // the endpoint has seen a higher fence
-  kNotSent,     // no byte was sent
-  kUnanswered,  // may have been executed, or may still be
+  kRefused,        // the endpoint has seen a higher fence
+  kOtherEndpoint,  // another endpoint serves at the address and refused
+  kNotSent,        // no byte was sent
+  kUnanswered,     // may have been executed, or may still be
 };
 
 // Returns the name of an outcome, for logs and metrics.
 std::string_view CallOutcomeName(CallOutcome outcome);
 
+// Result of a grant or release.
+struct CallResult {
+  CallOutcome outcome = CallOutcome::kUnanswered;
+  std::string handover;  // data for the next holder, from a release
+};
+
 // kConflict: the log did not end at expected_end. kUnknown: the response was
 // lost, so the record may have been appended. kNotDone: nothing was appended.
 enum class AppendOutcome { kDone, kConflict, kUnknown, kNotDone };
@@ -75,7 +103,12 @@
 // out only after that append. The store elects the leader by group membership,
 // which is only a hint: the conditional append decides which change wins.
 //
-// To move a range, the leader releases it at the previous holder with the new
+// The leader opens a connection to the new holder, confirms its view, and then
+// sends the first grant on it: until then no other gateway has used a higher
+// fence, and no later process receives the grant. The lease is renewed on the
+// same connection. If the connection is lost, the leader assigns the range a
+// higher fence.
+//// To move a range, the leader releases it at the previous holder with the new
 // fence. If the release stays unanswered, the leader waits until every lease
 // that any gateway could have granted has expired. Other gateways send renewals
 // only
@@ -104,6 +137,7 @@
     bool wait_for_old_leases = true;
     bool limit_view_age = true;
     bool conditional_append = true;
+    bool bind_lease_to_connection = true;
   };
 
   // started: when this process started.
@@ -133,10 +167,11 @@
   }
   // Reports the outcome of the last AppendTable.
   void OnAppendResult(AppendOutcome outcome, BootTime now);
-  // Reports the outcome of a grant or release. handover: data for the next
-  // holder, from the response to a release.
-  void OnCallResult(std::uint64_t call, CallOutcome outcome,
-                    std::string handover, BootTime now);
+  // Reports the result of an OpenConnection. connection: its number; 0 if it
+  // failed.
+  void OnConnection(std::uint64_t id, std::uint64_t connection, BootTime now);
+  // Reports the result of a grant or release.
+  void OnCallResult(std::uint64_t call, CallResult result, BootTime now);
   // Reports that a gateway has adopted a table of at least this version.
   // since_renewal: the SinceRenewal of that gateway.
   void OnAdopted(const GatewayInstance& gateway, std::uint64_t version,
@@ -166,10 +201,15 @@
     bool releasing = false;  // the pending call is a release
     BootTime next_call;
     bool released = false;
-    bool release_failed = false;  // a release failed or timed out
-    bool granted = false;         // the endpoint accepted this fence
-    bool refused = false;         // the endpoint has seen a higher fence
-    int failures = 0;             // failed calls since the last response
+    bool release_failed = false;   // a release failed or timed out
+    bool sent = false;             // the endpoint may have accepted this fence
+    bool granted = false;          // the endpoint accepted this fence
+    bool refused = false;          // the endpoint has seen a higher fence
+    std::uint64_t opening = 0;     // id of the pending OpenConnection; 0: none
+    std::uint64_t connection = 0;  // of the LeaseConnection; 0: none
+    BootTime connected_at;
+    BootTime next_opening;
+    int failures = 0;  // failed calls since the last response
     std::string handover;
   };
   // The last table that a gateway is known to have adopted.
@@ -181,20 +221,28 @@
   using RangeKey = std::pair<std::uint64_t, ShardKey>;  // fence, first key
 
   Progress& ProgressOf(const RangeLease& lease);
+  void KeepProgressOfParts(const LeaseTable& next);
   bool MayRenew(BootTime now) const;
   void RenewLeases(BootTime now, Milliseconds interval,
                    std::vector<LeaseAction>& actions);
   void MoveRanges(BootTime now, std::vector<LeaseAction>& actions);
   void MoveRange(const RangeLease& lease, BootTime now,
                  std::vector<LeaseAction>& actions);
-  void SendGrant(const RangeLease& lease, Progress& progress, BootTime now,
+  void Open(const RangeLease& lease, Progress& progress, BootTime now,
+            std::vector<LeaseAction>& actions);
+  void SendGrant(const RangeLease& lease, Progress& progress,
+                 GrantConnection connection, BootTime now,
                  std::vector<LeaseAction>& actions);
+  void OnGrantResult(const RangeLease& lease, Progress& progress,
+                     const GrantConnection& connection, CallOutcome outcome);
+  bool NeedsHigherFence(const RangeLease& lease) const;
   bool PreviousLeaseEnded(const RangeLease& lease, const Progress& progress,
                           BootTime now) const;
   bool IsSuperseded(const LeaseHolder& holder) const;
   bool HasEnded(const LeaseHolder& holder) const;
   BootTime PreviousLeaseEnd(const LeaseHolder& previous) const;
   BootTime OwnGrantsEnd(const EndpointRef& endpoint) const;
+  void RecordEnd(const LeaseHolder& holder, BootTime now);
   void RecordFailure(const EndpointRef& endpoint, BootTime now);
   void RecordLeaseEnd(const EndpointRef& endpoint, BootTime end);
   std::vector<EligibleEndpoint> UsableEndpoints(BootTime now);
@@ -202,6 +250,7 @@
   bool Append(LeaseTable next, BootTime now, std::vector<LeaseAction>& actions);
   bool TakeOver(BootTime now, std::vector<LeaseAction>& actions);
   bool AddMissingRenewers(BootTime now, std::vector<LeaseAction>& actions);
+  bool RaiseFences(BootTime now, std::vector<LeaseAction>& actions);
   bool ConfirmGrants(BootTime now, std::vector<LeaseAction>& actions);
   bool PlanChanges(BootTime now, std::vector<LeaseAction>& actions);
   void AddRenewers(LeaseTable& table) const;
@@ -230,12 +279,15 @@
   BootTime next_plan_;
   BootTime next_publish_;
   BootTime next_renewer_update_;
+  BootTime next_fence_raise_;
   std::map<RangeKey, Progress> progress_;
   struct Call {
     RangeLease lease;
     BootTime lease_end;  // for a grant: latest end of the lease it may start
+    GrantConnection connection;
   };
   std::map<std::uint64_t, Call> calls_;
+  std::map<std::uint64_t, RangeLease> openings_;
   std::uint64_t last_call_ = 0;
   // By endpoint: latest time at which a lease from a completed call may run.
   std::map<EndpointRef, BootTime> latest_lease_ends_;
@@ -245,6 +297,8 @@
     BootTime until;  // treated as unreachable until then
   };
   std::map<EndpointRef, Failures> failures_;
+  // Holders at whose address another endpoint responded.
+  std::vector<LeaseHolder> ended_;
   bool many_unreachable_ = false;
   std::map<RouterId, Adoption> adoptions_;
   BootTime last_renewal_;
--- a/Source/gateway/lease_table.h
+++ b/Source/gateway/lease_table.h
@@ -37,13 +37,18 @@
   LeaseHolder owner;
   // Fencing token of the owner's grant: increases with each change of owner.
   std::uint64_t fence = 0;
-  // False while the keys are being moved from the previous holder.
+  // False until the owner has accepted the fence.
   bool granted = false;
-  LeaseHolder previous;  // empty if no earlier holder can still have the keys
+  // Holder from which the keys are being moved; empty if no earlier one can
+  // still have them. The owner itself if only the fence changes.
+  LeaseHolder previous;
   // While not granted: expected time from the append of the table to the grant.
   Milliseconds expected_wait{0};
 
   bool operator==(const RangeLease&) const = default;
+  // Returns whether the owner has the keys, although it may not have accepted
+  // the fence yet.
+  bool OwnerHolds() const { return granted || previous == owner; }
 };
 
 // One process of a gateway.
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -321,7 +321,7 @@
     wait = kDefaultUnavailableWait;
     return RejectReason::kNoLease;
   }
-  if (!lease->granted) {
+  if (!lease->OwnerHolds()) {
     const auto elapsed =
         std::chrono::duration_cast<Milliseconds>(now - leases_set_at_);
     wait = std::max(lease->expected_wait - elapsed, Milliseconds(20));
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -65,6 +65,12 @@
 
   std::uint64_t Send(HttpRequest request, Milliseconds timeout, Callback done,
                      Milliseconds max_idle);
+  std::uint64_t SendOn(std::uint64_t number, HttpRequest request,
+                       Milliseconds timeout, Callback done);
+  void Open(Callback done);
+  // Returns a connection that is still to be connected, or nullptr; done then
+  // gets the error.
+  std::shared_ptr<Connection> NewConnection(Callback& done);
   // Starts an exchange on a new connection.
   void SendOnNew(std::uint64_t id, HttpRequest request,
                  Clock::time_point deadline, Callback done);
@@ -98,8 +104,15 @@
 
   void Connect(std::uint64_t id, HttpRequest request,
                Clock::time_point deadline, Callback done);
+  // replaceable: a new connection may take the place of this one if nothing can
+  // be written on it.
   void Exchange(std::uint64_t id, HttpRequest request,
-                Clock::time_point deadline, Callback done);
+                Clock::time_point deadline, Callback done, bool replaceable);
+  // Connects without a request. The outcome has the connection's number.
+  void Open(std::uint64_t id, Clock::time_point deadline, Callback done) {
+    open_only_ = true;
+    Connect(id, {}, deadline, std::move(done));
+  }
   // Returns true if the connection may still be reused after max_idle.
   bool Fresh(Clock::time_point now, Milliseconds max_idle) const {
     return now - idle_since_ < std::min(max_idle, idle_limit_);
@@ -124,7 +137,7 @@
   void Finish(Outcome outcome, bool reusable);
   void FinishFailed(HttpFailure failure, std::string detail) {
     reset_ = true;
-    Finish({std::nullopt, {failure, std::move(detail)}}, false);
+    Finish({std::nullopt, {failure, std::move(detail)}, 0}, false);
   }
 
   std::shared_ptr<Impl> client_;
@@ -141,7 +154,8 @@
   Milliseconds idle_limit_{0};
   std::uint64_t exchange_ = 0;
   Stage stage_ = Stage::kDone;
-  bool pooled_ = false;
+  bool open_only_ = false;  // connects without a request
+  bool replaceable_ = false;
   bool written_ = false;
   bool write_failed_ = false;
   bool skipped_answer_ = false;
@@ -197,6 +211,11 @@
         }
         error_code ignored;
         self->socket_.set_option(tcp::no_delay(true), ignored);
+        if (self->open_only_) {
+          self->open_only_ = false;
+          self->idle_limit_ = self->client_->options_.max_idle;
+          return self->Finish({std::nullopt, {}, self->number_}, true);
+        }
         self->SetTimer(self->deadline_);
         self->Write();
       });
@@ -205,9 +224,9 @@
 void HttpClient::Impl::Connection::Exchange(std::uint64_t id,
                                             HttpRequest request,
                                             Clock::time_point deadline,
-                                            Callback done) {
+                                            Callback done, bool replaceable) {
   Begin(id, std::move(request), deadline, std::move(done));
-  pooled_ = true;
+  replaceable_ = replaceable;
   SetTimer(deadline);
   Write();
 }
@@ -242,7 +261,7 @@
   if (stage_ != Stage::kWriting) return;
   written_ = !error;
   if (error && bytes == 0) {
-    if (!pooled_) {
+    if (!replaceable_) {
       return FinishFailed(HttpFailure::kNotSent, "write: " + error.message());
     }
     // Nothing was written on the pooled connection: a new one is safe.
@@ -309,7 +328,7 @@
     idle_limit_ = std::min<Milliseconds>(idle_limit_, *stated) -
                   std::min(kKeepAliveMargin, idle_limit_ / 2);
   }
-  Finish({std::move(response), {}}, reusable);
+  Finish({std::move(response), {}, number_}, reusable);
 }
 
 void HttpClient::Impl::Connection::Finish(Outcome outcome, bool reusable) {
@@ -319,7 +338,8 @@
   idle_since_ = Clock::now();
   const Callback done = std::exchange(done_, nullptr);
   const auto self = shared_from_this();
-  if (!outcome.response && outcome.error.failure != HttpFailure::kNotSent) {
+  if (!outcome.response && outcome.error.failure != HttpFailure::kNotSent &&
+      client_->options_.close_older_after_failure) {
     client_->CloseOlderThan(number_);
   }
   if (reusable && number_ > client_->silent_up_to_) {
@@ -349,7 +369,7 @@
                             Callback done) {
   asio::post(executor_, [failure, detail = std::move(detail),
                          done = std::move(done)]() mutable {
-    done({std::nullopt, {failure, std::move(detail)}});
+    done({std::nullopt, {failure, std::move(detail)}, 0});
   });
 }
 
@@ -365,7 +385,8 @@
     const auto connection = std::move(idle_.back());
     idle_.pop_back();
     if (connection->Usable()) {
-      connection->Exchange(id, std::move(request), deadline, std::move(done));
+      connection->Exchange(id, std::move(request), deadline, std::move(done),
+                           true);
       return id;
     }
     connection->Close();
@@ -374,6 +395,30 @@
   return id;
 }
 
+std::uint64_t HttpClient::Impl::SendOn(std::uint64_t number,
+                                       HttpRequest request,
+                                       Milliseconds timeout, Callback done) {
+  const auto id = ++last_exchange_;
+  const auto found = std::ranges::find(
+      idle_, number,
+      [](const auto& connection) { return connection->number(); });
+  if (found == idle_.end()) {
+    Fail(HttpFailure::kNotSent, "connection in use or closed", std::move(done));
+    return id;
+  }
+  const auto connection = *found;
+  idle_.erase(found);
+  if (!connection->Usable()) {
+    connection->Close();
+    Fail(HttpFailure::kNotSent, "connection closed by the server",
+         std::move(done));
+    return id;
+  }
+  connection->Exchange(id, std::move(request), Clock::now() + timeout,
+                       std::move(done), false);
+  return id;
+}
+
 void HttpClient::Impl::Cancel(std::uint64_t id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
@@ -393,20 +438,34 @@
   std::erase_if(idle_, expired);
 }
 
-void HttpClient::Impl::SendOnNew(std::uint64_t id, HttpRequest request,
-                                 Clock::time_point deadline, Callback done) {
+std::shared_ptr<HttpClient::Impl::Connection> HttpClient::Impl::NewConnection(
+    Callback& done) {
   if (!endpoint_) {
-    return Fail(HttpFailure::kNotSent, "not an ip:port: " + address_,
-                std::move(done));
+    Fail(HttpFailure::kNotSent, "not an ip:port: " + address_, std::move(done));
+    return nullptr;
   }
   if (connections_.size() >= options_.max_connections) {
-    return Fail(HttpFailure::kNotSent, "all connections in use",
-                std::move(done));
+    Fail(HttpFailure::kNotSent, "all connections in use", std::move(done));
+    return nullptr;
   }
   auto connection =
       std::make_shared<Connection>(shared_from_this(), ++last_number_);
   connections_.insert(connection);
-  connection->Connect(id, std::move(request), deadline, std::move(done));
+  return connection;
+}
+
+void HttpClient::Impl::SendOnNew(std::uint64_t id, HttpRequest request,
+                                 Clock::time_point deadline, Callback done) {
+  if (const auto connection = NewConnection(done)) {
+    connection->Connect(id, std::move(request), deadline, std::move(done));
+  }
+}
+
+void HttpClient::Impl::Open(Callback done) {
+  if (const auto connection = NewConnection(done)) {
+    connection->Open(++last_exchange_, Clock::now() + options_.connect_timeout,
+                     std::move(done));
+  }
 }
 
 void HttpClient::Impl::CloseOlderThan(std::uint64_t number) {
@@ -440,6 +499,34 @@
   return impl_->Send(std::move(request), timeout, std::move(done), max_idle);
 }
 
+void HttpClient::Open(Callback done) { impl_->Open(std::move(done)); }
+
+std::uint64_t HttpClient::SendOnNew(HttpRequest request, Milliseconds timeout,
+                                    Callback done) {
+  return impl_->Send(std::move(request), timeout, std::move(done),
+                     Milliseconds(0));
+}
+
+std::uint64_t HttpClient::SendOn(std::uint64_t connection, HttpRequest request,
+                                 Milliseconds timeout, Callback done) {
+  return impl_->SendOn(connection, std::move(request), timeout,
+                       std::move(done));
+}
+
+std::vector<std::uint64_t> HttpClient::IdleConnections() const {
+  std::vector<std::uint64_t> numbers;
+  std::ranges::transform(
+      impl_->idle_, std::back_inserter(numbers),
+      [](const auto& connection) { return connection->number(); });
+  return numbers;
+}
+
+bool HttpClient::IsOpen(std::uint64_t connection) const {
+  return std::ranges::any_of(impl_->connections_, [&](const auto& open) {
+    return open->number() == connection;
+  });
+}
+
 void HttpClient::Cancel(std::uint64_t exchange) { impl_->Cancel(exchange); }
 
 void HttpClient::CloseExpired() { impl_->CloseExpired(); }
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "core/result_code.h"
 #include "core/types.h"
@@ -35,6 +36,9 @@
   // An idle connection is reused only within this time, or less if the server
   // states a shorter one in Keep-Alive.
   Milliseconds max_idle{60'000};
+  // After a failed exchange, idle connections that are older than its
+  // connection are closed as well.
+  bool close_older_after_failure = true;
 };
 
 // How far a failed exchange got.
@@ -51,14 +55,17 @@
 };
 
 // Not thread-safe: all calls and callbacks run on the loop's thread. A
-// connection that timed out or failed is closed, never reused; every older
-// idle connection is closed with it, because a lost flow entry between the
-// ends silences them too.
+// connection that timed out or failed is closed, never reused; unless the
+// options say otherwise, every older idle connection is closed with it, because
+// a lost flow entry between the ends silences them too.
 class HttpClient {
  public:
   struct Outcome {
     std::optional<HttpResponse> response;
     HttpError error;  // set if response is empty
+    // Number of the connection on which the response arrived; 0 without a
+    // response. A client does not use a number again.
+    std::uint64_t connection = 0;
   };
   using Callback = std::function<void(Outcome)>;
 
@@ -78,6 +85,24 @@
   std::uint64_t Send(HttpRequest request, Milliseconds timeout, Callback done,
                      Milliseconds max_idle = Milliseconds::max());
 
+  // Opens a connection, for SendOn or Send. The outcome of done, which runs as
+  // with Send, has no response, and a connection's number if there is one.
+  void Open(Callback done);
+
+  // Like Send, but always opens a connection.
+  std::uint64_t SendOnNew(HttpRequest request, Milliseconds timeout,
+                          Callback done);
+
+  // Like Send, but only on this connection, however long it was idle. Fails
+  // with kNotSent if it is in use or closed.
+  std::uint64_t SendOn(std::uint64_t connection, HttpRequest request,
+                       Milliseconds timeout, Callback done);
+
+  // Returns the numbers of the connections that are open and not in use.
+  std::vector<std::uint64_t> IdleConnections() const;
+  // Returns whether the connection with this number is open.
+  bool IsOpen(std::uint64_t connection) const;
+
   // Closes the connection of an exchange that has not ended; its callback does
   // not run. No effect on ended exchanges.
   void Cancel(std::uint64_t exchange);
--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -18,6 +18,7 @@
 const LeaseHolder kOld{{"old", 1}, "old:1"};
 const LeaseHolder kNew{{"new", 1}, "new:1"};
 const BootTime kStart{std::chrono::hours(1)};
+constexpr std::uint64_t kConnection = 7;
 
 template <typename Action>
 std::vector<Action> ActionsOf(const std::vector<LeaseAction>& actions) {
@@ -56,6 +57,15 @@
   return keeper;
 }
 
+// Responds to the OpenConnection actions, and confirms the view after it.
+void Connect(LeaseKeeper& keeper, const std::vector<LeaseAction>& actions,
+             BootTime now) {
+  for (const auto& open : ActionsOf<OpenConnection>(actions)) {
+    keeper.OnConnection(open.id, kConnection, now);
+  }
+  keeper.OnLogEnd(keeper.log_end(), now);
+}
+
 struct RenewalCase {
   const char* name;
   bool store_reachable;
@@ -140,17 +150,20 @@
     for (const LeaseAction& action : keeper.Tick(now)) {
       if (const auto* release = std::get_if<ReleaseCall>(&action)) {
         BOOST_TEST(release->fence == 5U);
-        keeper.OnCallResult(release->id,
-                            move.release == ReleaseReply::kAnswered
-                                ? CallOutcome::kDone
-                                : CallOutcome::kUnanswered,
-                            "handover", now);
+        keeper.OnCallResult(
+            release->id,
+            {move.release == ReleaseReply::kAnswered ? CallOutcome::kDone
+                                                     : CallOutcome::kUnanswered,
+             "handover"},
+            now);
       } else if (std::holds_alternative<PublishTable>(action) &&
                  move.peer != PeerReply::kUnanswered) {
         const Ms since = move.peer == PeerReply::kAdoptedJustRenewed
                              ? Ms(0)
                              : Ms(std::chrono::minutes(4));
         keeper.OnAdopted(kOther, 5, since, now);
+      } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+        keeper.OnConnection(open->id, 1, now);
       } else if (const auto* grant = std::get_if<GrantCall>(&action)) {
         granted = passed;
         BOOST_TEST((grant->handover == "handover") ==
@@ -226,7 +239,9 @@
   }
   keeper.OnAddresses(
       {{replaced.address, {replaced.successor, replaced.takes_leases}}});
-  const auto actions = keeper.Tick(kStart);
+  auto actions = keeper.Tick(kStart);
+  Connect(keeper, actions, kStart);
+  std::ranges::copy(keeper.Tick(kStart), std::back_inserter(actions));
   BOOST_TEST(ActionsOf<GrantCall>(actions).size() ==
              (replaced.first_call == FirstCall::kGrant ? 1U : 0U));
   BOOST_TEST(ActionsOf<ReleaseCall>(actions).size() ==
@@ -238,7 +253,7 @@
   keeper.OnElection(true);
   const auto grants = ActionsOf<GrantCall>(keeper.Tick(kStart));
   BOOST_REQUIRE(grants.size() == 1U);
-  keeper.OnCallResult(grants[0].id, CallOutcome::kRefused, "", kStart);
+  keeper.OnCallResult(grants[0].id, {CallOutcome::kRefused, ""}, kStart);
   for (Ms passed{20}; passed < Ms(3'000); passed += Ms(20)) {
     const auto later = ActionsOf<GrantCall>(keeper.Tick(kStart + passed));
     BOOST_TEST(std::ranges::none_of(
@@ -246,6 +261,113 @@
   }
 }
 
+// Returns a leader that has granted the range to "new" on kConnection.
+LeaseKeeper MakeGrantingLeader() {
+  LeaseKeeper keeper = MakeKeeper(kLeader, false);
+  keeper.OnElection(true);
+  Connect(keeper, keeper.Tick(kStart), kStart);
+  const auto releases = ActionsOf<ReleaseCall>(keeper.Tick(kStart));
+  BOOST_TEST(releases.empty());  // it is pending since the first Tick
+  keeper.OnCallResult(1, {CallOutcome::kDone, ""}, kStart);
+  keeper.OnCallResult(2, {CallOutcome::kDone, ""}, kStart);
+  const auto grants = ActionsOf<GrantCall>(keeper.Tick(kStart));
+  BOOST_REQUIRE(grants.size() == 1U);
+  keeper.OnCallResult(grants[0].id, {CallOutcome::kDone, ""}, kStart);
+  return keeper;
+}
+
+// A process that started at the address took a grant with the fence of the
+// ended one, because the grant went out on a new connection.
+BOOST_AUTO_TEST_CASE(a_lease_is_renewed_on_the_connection_of_its_first_grant) {
+  LeaseKeeper keeper = MakeGrantingLeader();
+  const auto grants = ActionsOf<GrantCall>(keeper.Tick(kStart + Ms(1'500)));
+  BOOST_REQUIRE(grants.size() == 1U);
+  const auto* connection = std::get_if<LeaseConnection>(&grants[0].connection);
+  BOOST_REQUIRE(connection != nullptr);
+  BOOST_TEST(connection->number == kConnection);
+}
+
+struct LostConnectionCase {
+  const char* name;
+  CallOutcome outcome;
+  bool raises_fence;
+};
+
+std::ostream& operator<<(std::ostream& out, const LostConnectionCase& c) {
+  return out << c.name;
+}
+
+const LostConnectionCase kLostConnections[] = {
+    {"a renewal that was done", CallOutcome::kDone, false},
+    {"a renewal without a response", CallOutcome::kUnanswered, true},
+    {"a renewal that was not sent", CallOutcome::kNotSent, true},
+};
+
+// Without its connection the holder can't be told from a later process.
+BOOST_DATA_TEST_CASE(a_lost_lease_connection_raises_the_fence,
+                     data::make(kLostConnections), lost) {
+  LeaseKeeper keeper = MakeGrantingLeader();
+  const BootTime renewal = kStart + Ms(1'500);
+  // The grant is confirmed first.
+  for (const auto& append : ActionsOf<AppendTable>(keeper.Tick(kStart))) {
+    BOOST_TEST(append.table.ranges[0].granted);
+    keeper.OnAppendResult(AppendOutcome::kDone, kStart);
+  }
+  const auto grants = ActionsOf<GrantCall>(keeper.Tick(renewal));
+  BOOST_REQUIRE(grants.size() == 1U);
+  keeper.OnCallResult(grants[0].id, {lost.outcome, ""}, renewal);
+  const auto appends = ActionsOf<AppendTable>(keeper.Tick(renewal + Ms(20)));
+  BOOST_TEST(!appends.empty() == lost.raises_fence);
+  for (const AppendTable& append : appends) {
+    const RangeLease& lease = append.table.ranges[0];
+    BOOST_TEST(lease.fence == append.table.version);
+    BOOST_TEST(!lease.granted);
+    BOOST_TEST(lease.OwnerHolds());
+    BOOST_TEST((lease.owner == kNew));
+  }
+}
+
+// A leader that another one has replaced granted keys to a process that had
+// started since, and knew no fence.
+BOOST_AUTO_TEST_CASE(a_first_grant_needs_a_view_confirmed_after_connecting) {
+  LeaseKeeper keeper = MakeKeeper(kLeader, false);
+  keeper.OnElection(true);
+  keeper.OnAddresses({{kOld.address, {{"other", 2}, false}}});
+  const BootTime connected = kStart + Ms(50);
+  const auto opens = ActionsOf<OpenConnection>(keeper.Tick(kStart));
+  BOOST_REQUIRE(opens.size() == 1U);
+  keeper.OnConnection(opens[0].id, kConnection, connected);
+  const auto unconfirmed = keeper.Tick(connected);
+  BOOST_TEST(ActionsOf<GrantCall>(unconfirmed).empty());
+  BOOST_TEST(ActionsOf<RereadLog>(unconfirmed).size() == 1U);
+  keeper.OnLogEnd(5, connected);
+  BOOST_TEST(ActionsOf<GrantCall>(keeper.Tick(connected)).size() == 1U);
+}
+
+// A new leader renewed leases on new connections, with the old fences.
+BOOST_AUTO_TEST_CASE(a_new_leader_raises_all_fences) {
+  LeaseKeeper keeper = MakeKeeper(kOther, true);
+  keeper.OnElection(true);
+  const auto appends = ActionsOf<AppendTable>(keeper.Tick(kStart));
+  BOOST_REQUIRE(appends.size() == 1U);
+  for (const RangeLease& lease : appends[0].table.ranges) {
+    BOOST_TEST(lease.fence == appends[0].table.version);
+    BOOST_TEST(lease.OwnerHolds());
+  }
+}
+
+// Another endpoint at the holder's address proves that the holder has ended.
+BOOST_AUTO_TEST_CASE(keys_of_an_endpoint_that_ended_move_at_once) {
+  LeaseKeeper keeper = MakeKeeper(kLeader, false);
+  keeper.OnElection(true);
+  const auto releases = ActionsOf<ReleaseCall>(keeper.Tick(kStart));
+  BOOST_REQUIRE(releases.size() == 1U);
+  Connect(keeper, {OpenConnection{releases[0].id - 1, kNew}}, kStart);
+  keeper.OnCallResult(releases[0].id, {CallOutcome::kOtherEndpoint, ""},
+                      kStart);
+  BOOST_TEST(ActionsOf<GrantCall>(keeper.Tick(kStart + Ms(200))).size() == 1U);
+}
+
 struct AppendCase {
   const char* name;
   AppendOutcome outcome;
--- a/Tests/Gateway/lease_random_test.cc
+++ b/Tests/Gateway/lease_random_test.cc
@@ -26,6 +26,8 @@
 BOOST_DATA_TEST_CASE(one_holder_under_random_faults,
                      data::xrange(Seeds().first, Seeds().second), seed) {
   const auto result = RunLeaseSimulation(seed, {});
+  BOOST_TEST(!result.fence_violation.has_value(),
+             result.fence_violation.value_or(""));
   BOOST_TEST(!result.violation.has_value(), result.violation.value_or(""));
   BOOST_TEST(!result.unserved.has_value(), result.unserved.value_or(""));
   BOOST_TEST(result.moves > 0);
@@ -64,5 +66,35 @@
   BOOST_TEST(violations > 0);
 }
 
+struct PredecessorCase {
+  const char* name;
+  LeaseKeeper::Guards guards;
+  SimulationOptions options;
+};
+
+std::ostream& operator<<(std::ostream& out, const PredecessorCase& c) {
+  return out << c.name;
+}
+
+const PredecessorCase kPredecessorCases[] = {
+    {"renewal on any connection",
+     {.bind_lease_to_connection = false},
+     {.hidden_restarts = true}},
+    {"renewal on any connection, by calls that name no endpoint",
+     {.bind_lease_to_connection = false},
+     {.calls_name_endpoint = false, .hidden_restarts = true}},
+};
+
+BOOST_DATA_TEST_CASE(simulation_detects_leases_taken_from_a_predecessor,
+                     data::make(kPredecessorCases), predecessor) {
+  bool violation = false;
+  for (std::uint32_t seed = 1; seed <= 200 && !violation; ++seed) {
+    const auto result =
+        RunLeaseSimulation(seed, predecessor.guards, predecessor.options);
+    violation = result.fence_violation || result.violation;
+  }
+  BOOST_TEST(violation);
+}
+
 }  // namespace
 }  // namespace balsamhall::gateway
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -4,6 +4,7 @@
 #include <array>
 #include <queue>
 #include <ranges>
+#include <set>
 
 namespace balsamhall::gateway {
 namespace {
@@ -19,6 +20,10 @@
 // Kinds of faults; those with hidden restarts come after the others.
 constexpr std::size_t kFaults = 12;
 constexpr std::size_t kHiddenRestartFaults = 6;
+// Probability that an endpoint closes a connection after a grant.
+constexpr double kCloseRate = 0.005;
+// Probability of a request of a gateway per step.
+constexpr double kRequestRate = 0.15;
 constexpr Ms kFaultPhase{60'000};
 // Longer than a gateway renews leases under an old view.
 constexpr int kMaxRegistryDelayMs = 20'000;
@@ -31,6 +36,11 @@
   return static_cast<ShardKey>(index * 1024 + 512);
 }
 
+// The endpoint's clock is 2% slow.
+Ms SimulatedLease(const GrantCall& grant) {
+  return grant.lease_time + grant.lease_time / 50;
+}
+
 template <class... Visitors>
 struct Overloaded : Visitors... {
   using Visitors::operator()...;
@@ -86,6 +96,15 @@
     bool believes_elected = false;
     std::size_t read_to = 0;  // number of log records read
     BootTime next_read;
+    // The process that each lease connection leads to.
+    std::map<std::uint64_t, EndpointRef> lease_connections;
+    // By endpoint: the process that the connection for requests leads to, and
+    // the keys for which it has executed requests.
+    struct RequestConnectionState {
+      EndpointRef process;
+      std::set<ShardKey> keys;
+    };
+    std::array<RequestConnectionState, kEndpoints> request_connections;
   };
   // What the registry shows of an address: it may be out of date.
   struct RegistryEntry {
@@ -200,10 +219,32 @@
                                                : Pick(kShardKeys));
     });
     keeper.load().Add(keys, now_);
+    if (Chance(kRequestRate))
+      SendRequest(index, WatchedKey(Pick(kWatchedKeys)));
     for (const LeaseAction& action : keeper.Tick(now_)) Do(index, action);
     keeper.TakeEvents();
   }
 
+  // Sends a request to the owner of the key.
+  void SendRequest(std::size_t index, ShardKey key) {
+    Gateway& gateway = gateways_[index];
+    const RangeLease* const lease = gateway.keeper->table().Find(key);
+    if (lease == nullptr || !lease->OwnerHolds() ||
+        !Reachable(index, lease->owner)) {
+      return;
+    }
+    const SimulatedEndpoint& endpoint = EndpointAt(lease->owner);
+    if (endpoint.holder().ref.id != lease->owner.ref.id ||
+        !endpoint.Holds(key, now_)) {
+      return;
+    }
+    auto& connection = gateway.request_connections[NumberOf(lease->owner)];
+    if (connection.process != endpoint.holder().ref) {
+      connection = {endpoint.holder().ref, {}};
+    }
+    connection.keys.insert(key);
+  }
+
   void ReadLog(Gateway& gateway) {
     for (; gateway.read_to < log_.size(); ++gateway.read_to) {
       LeaseTable table = log_[gateway.read_to];
@@ -232,6 +273,7 @@
 
   void Do(std::size_t index, const LeaseAction& action) {
     std::visit(Overloaded{[&](const AppendTable& a) { DoAppend(index, a); },
+                          [&](const OpenConnection& a) { DoOpen(index, a); },
                           [&](const GrantCall& a) { DoGrant(index, a); },
                           [&](const ReleaseCall& a) { DoRelease(index, a); },
                           [&](const PublishTable& a) { DoPublish(index, a); },
@@ -269,12 +311,16 @@
     if (lost) answer(Ms(1'000), AppendOutcome::kUnknown);
   }
 
+  static std::size_t NumberOf(const LeaseHolder& holder) {
+    return static_cast<std::size_t>(holder.address[1] - '0');
+  }
+
   SimulatedEndpoint& EndpointAt(const LeaseHolder& holder) {
-    return *endpoints_.at(static_cast<std::size_t>(holder.address[1] - '0'));
+    return *endpoints_.at(NumberOf(holder));
   }
 
   bool Reachable(std::size_t gateway, const LeaseHolder& holder) {
-    const auto number = static_cast<std::size_t>(holder.address[1] - '0');
+    const auto number = NumberOf(holder);
     return endpoints_[number]->up && !gateways_[gateway].endpoint_cut[number];
   }
 
@@ -286,12 +332,74 @@
   void Answer(std::size_t index, std::uint64_t call, CallOutcome outcome,
               Ms delay) {
     Deliver(index, delay, [this, call, outcome](LeaseKeeper& keeper) {
-      keeper.OnCallResult(call, outcome, "handover", now_);
+      keeper.OnCallResult(call, {outcome, "handover"}, now_);
     });
   }
 
+  void DoOpen(std::size_t index, const OpenConnection& open) {
+    const auto report = [this, index, id = open.id](Ms delay,
+                                                    std::uint64_t connection) {
+      Deliver(index, delay, [this, id, connection](LeaseKeeper& keeper) {
+        keeper.OnConnection(id, connection, now_);
+      });
+    };
+    if (!Reachable(index, open.to)) return report(Between(1, 250), 0);
+    const auto incarnation = gateways_[index].incarnation;
+    After(Between(1, 50), [this, index, open, report, incarnation] {
+      Gateway& gateway = gateways_[index];
+      if (!Reachable(index, open.to) || gateway.incarnation != incarnation) {
+        return report(Ms(1), 0);
+      }
+      gateway.lease_connections[++last_connection_] =
+          EndpointAt(open.to).holder().ref;
+      report(Between(1, 50), last_connection_);
+    });
+  }
+
+  // Returns the process that the connection of a grant leads to; empty if there
+  // is no such connection.
+  EndpointRef ProcessOf(std::size_t index, const GrantCall& grant) {
+    Gateway& gateway = gateways_[index];
+    return std::visit(
+        Overloaded{[&](const LeaseConnection& connection) {
+                     const auto found =
+                         gateway.lease_connections.find(connection.number);
+                     return found == gateway.lease_connections.end()
+                                ? EndpointRef{}
+                                : found->second;
+                   },
+                   [&](const RequestConnection&) {
+                     const auto& connection =
+                         gateway.request_connections[NumberOf(grant.to)];
+                     const bool known = std::ranges::any_of(
+                         connection.keys, [&](ShardKey key) {
+                           return grant.range.Contains(key);
+                         });
+                     return known ? connection.process : EndpointRef{};
+                   }},
+        grant.connection);
+  }
+
+  // Closes the connection of a grant.
+  void CloseConnection(std::size_t index, const GrantCall& grant) {
+    Gateway& gateway = gateways_[index];
+    std::visit(
+        Overloaded{[&](const LeaseConnection& connection) {
+                     gateway.lease_connections.erase(connection.number);
+                   },
+                   [&](const RequestConnection&) {
+                     gateway.request_connections[NumberOf(grant.to)] = {};
+                   }},
+        grant.connection);
+  }
+
   void DoGrant(std::size_t index, const GrantCall& grant) {
-    if (!Reachable(index, grant.to)) {
+    const EndpointRef process = ProcessOf(index, grant);
+    if (process.empty()) {
+      return Answer(index, grant.id, CallOutcome::kNotSent, Ms(1));
+    }
+    if (!Reachable(index, grant.to) || !Runs(EndpointAt(grant.to), process)) {
+      CloseConnection(index, grant);
       // A network partition may also drop calls that were sent.
       return Answer(
           index, grant.id,
@@ -301,21 +409,26 @@
     const bool late = Chance(late_call_rate_);
     // A call can be in transit until its connection is reset.
     const Ms transit = Between(1, 350);
-    After(transit, [this, index, grant, late] {
+    After(transit, [this, index, grant, late, process] {
       const BootTime arrival = now_;
-      const EndpointRef target = EndpointAt(grant.to).holder().ref;
       After(late ? Between(2'000, 12'000) : Ms(0),
-            [this, index, grant, late, arrival, target] {
+            [this, index, grant, late, arrival, process] {
               SimulatedEndpoint& endpoint = EndpointAt(grant.to);
               // A call is lost when the process ends.
-              const auto outcome = Runs(endpoint, target)
+              const auto outcome = Runs(endpoint, process)
                                        ? endpoint.Grant(grant, arrival, now_)
                                        : CallOutcome::kUnanswered;
-              if (outcome == CallOutcome::kDone) CheckFences(endpoint, grant);
-              if (!late) Answer(index, grant.id, outcome, Ms(1));
+              if (outcome == CallOutcome::kDone)
+                CheckFences(endpoint, grant, arrival);
+              if (late) return;
+              if (outcome == CallOutcome::kUnanswered || Chance(kCloseRate)) {
+                CloseConnection(index, grant);
+              }
+              Answer(index, grant.id, outcome, Ms(1));
             });
     });
     if (late) {
+      CloseConnection(index, grant);
       Answer(index, grant.id, CallOutcome::kUnanswered,
              LeaseKeeper::kCallTimeout);
     }
@@ -531,8 +644,11 @@
   }
 
   // Records that the process took the keys, and checks the fence against those
-  // with which other processes had them.
-  void CheckFences(const SimulatedEndpoint& endpoint, const GrantCall& grant) {
+  // with which other processes had them. A late grant whose lease has ended
+  // gives no keys.
+  void CheckFences(const SimulatedEndpoint& endpoint, const GrantCall& grant,
+                   BootTime arrival) {
+    if (now_ >= arrival + SimulatedLease(grant)) return;
     const Taken taken{endpoint.holder().ref, grant.fence};
     for (std::size_t i = 0; i < kWatchedKeys; ++i) {
       const ShardKey key = WatchedKey(i);
@@ -604,6 +720,7 @@
   std::map<ShardKey, std::vector<Taken>> taken_;
   std::vector<Gateway> gateways_;
   std::vector<LeaseTable> log_;
+  std::uint64_t last_connection_ = 0;
   bool store_up_ = true;
   std::size_t elected_ = 0;
   std::size_t hot_first_key_ = 0;
@@ -620,7 +737,6 @@
   return keys_[key];
 }
 
-// TODO(issue 17): an outcome that tells this refusal from no answer.
 bool SimulatedEndpoint::IsForAnother(const LeaseHolder& named) const {
   return options_.calls_name_endpoint && named.ref.id != holder_.ref.id;
 }
@@ -629,7 +745,7 @@
                                      BootTime now) {
   // A call does not name an incarnation: a later one at the address accepts it
   // as well.
-  if (IsForAnother(call.to)) return CallOutcome::kUnanswered;
+  if (IsForAnother(call.to)) return CallOutcome::kOtherEndpoint;
   std::vector<ShardKey> keys;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     if (call.range.Contains(WatchedKey(i))) keys.push_back(WatchedKey(i));
@@ -638,18 +754,17 @@
     return StateOf(key).highest_fence > call.fence;
   });
   if (refused) return CallOutcome::kRefused;
-  const auto lease = call.lease_time + call.lease_time / 50;  // 2% slow clock
   for (const ShardKey key : keys) {
     KeyState& state = StateOf(key);
     state.fence = state.highest_fence = call.fence;
-    state.end = std::max(state.end, arrival + lease);
+    state.end = std::max(state.end, arrival + SimulatedLease(call));
     if (state.end <= now) state.end = now;
   }
   return CallOutcome::kDone;
 }
 
 CallOutcome SimulatedEndpoint::Release(const ReleaseCall& call) {
-  if (IsForAnother(call.from)) return CallOutcome::kUnanswered;
+  if (IsForAnother(call.from)) return CallOutcome::kOtherEndpoint;
   for (std::size_t i = 0; i < kWatchedKeys; ++i) {
     const ShardKey key = WatchedKey(i);
     if (!call.range.Contains(key)) continue;
--- a/Tests/Gateway/lease_simulation.h
+++ b/Tests/Gateway/lease_simulation.h
@@ -19,7 +19,7 @@
 struct SimulationOptions {
   // Grants and releases name their endpoint on the wire, and a process with
   // another id refuses them. Otherwise any process at the address takes them.
-  bool calls_name_endpoint = false;
+  bool calls_name_endpoint = true;
   // Endpoints also end and start again, under the same or another id, while the
   // registry shows the ended process.
   bool hidden_restarts = false;
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -20,15 +20,17 @@
 
 UsersEndpoint::UsersEndpoint(boost::asio::io_context& loop, std::string id,
                              bool keyed)
-    : loop_(loop),
-      id_(std::move(id)),
-      keyed_(keyed),
-      server_(loop, HttpServerOptions{},
-              [this](const HttpRequest& request,
-                     const HttpServer::Respond& respond) {
-                OnRequest(request, respond);
-              }) {
-  server_.set_abort_handler([this](std::uint64_t connection) {
+    : loop_(loop), id_(std::move(id)), keyed_(keyed) {
+  StartServer();
+}
+
+void UsersEndpoint::StartServer() {
+  server_ = std::make_unique<HttpServer>(
+      loop_, HttpServerOptions{},
+      [this](const HttpRequest& request, const HttpServer::Respond& respond) {
+        OnRequest(request, respond);
+      });
+  server_->set_abort_handler([this](std::uint64_t connection) {
     ++aborted_;
     gone_.insert(connection);
   });
@@ -36,7 +38,7 @@
 
 std::string UsersEndpoint::Listen() {
   address_ =
-      "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
+      "127.0.0.1:" + std::to_string(server_->Listen("127.0.0.1:0").value());
   return address_;
 }
 
@@ -61,8 +63,12 @@
   return std::chrono::steady_clock::now() < keys_->at(key).end;
 }
 
-void UsersEndpoint::Restart() {
+void UsersEndpoint::Restart(const std::string& id) {
+  if (!id.empty()) id_ = id;
   ++born_;
+  gone_.clear();
+  StartServer();
+  server_->Listen(address_).value();
   keys_ = std::make_unique<KeyTable>();
 }
 
@@ -125,15 +131,17 @@
 
 void UsersEndpoint::OnRequest(const HttpRequest& request,
                               const HttpServer::Respond& respond) {
+  const auto expected =
+      FindHeader(request.headers, "X-Balsamhall-Expect-Instance");
+  const bool lease_call =
+      request.target == "/grant" || request.target == "/release";
+  if (expected != id_ && !(lease_call && expected.empty())) {
+    return respond({421, {{"X-Balsamhall-Instance-Id", id_}}, ""});
+  }
   if (request.target == "/grant") return respond(OnGrant(request.body));
   if (request.target == "/release") return respond(OnRelease(request.body));
   last_headers_ = request.headers;
   const auto key = FindHeader(request.headers, "X-Balsamhall-Shard-Key");
-  const bool expected =
-      FindHeader(request.headers, "X-Balsamhall-Expect-Instance") == id_;
-  if (!expected) {
-    return respond({421, {{"X-Balsamhall-Instance-Id", id_}}, ""});
-  }
   if (keyed_ && !Holds(static_cast<std::uint16_t>(
                     std::stoi(std::string(key.empty() ? "0" : key))))) {
     return respond({421, {{"X-Balsamhall-Not-Executed", "1"}}, ""});
@@ -143,8 +151,9 @@
   }
   ++runs_[std::string(FindHeader(request.headers, kId))];
   if (fault_ == EndpointFault::kSilent) return;
-  RunAfter(loop_, work_time_, [this, request, respond] {
-    if (!gone_.contains(request.connection)) respond(Answer(request));
+  RunAfter(loop_, work_time_, [this, request, respond, born = born_] {
+    if (born == born_ && !gone_.contains(request.connection))
+      respond(Answer(request));
   });
 }
 
--- a/Tests/StandIn/users_endpoint.h
+++ b/Tests/StandIn/users_endpoint.h
@@ -45,8 +45,9 @@
   void set_public_address(std::string address) {
     public_address_ = std::move(address);
   }
-  // Another life under the same id, which holds no keys.
-  void Restart();
+  // Ends the process, with its connections, and starts another one at its
+  // address, which holds no keys. id: empty for the same one.
+  void Restart(const std::string& id = "");
   const std::string& id() const { return id_; }
 
   void set_fault(EndpointFault fault) { fault_ = fault; }
@@ -66,6 +67,7 @@
   };
   using KeyTable = std::array<KeyState, 65536>;
 
+  void StartServer();
   void OnRequest(const HttpRequest& request,
                  const HttpServer::Respond& respond);
   HttpResponse OnGrant(const std::string& body);
@@ -73,9 +75,9 @@
   HttpResponse Answer(const HttpRequest& request) const;
 
   boost::asio::io_context& loop_;
-  const std::string id_;
+  std::string id_;
   const bool keyed_;
-  HttpServer server_;
+  std::unique_ptr<HttpServer> server_;
   std::string address_;
   EndpointFault fault_ = EndpointFault::kNone;
   Milliseconds work_time_{5};
--- a/Tests/UsersPlatform/formats_test.cc
+++ b/Tests/UsersPlatform/formats_test.cc
@@ -189,5 +189,53 @@
   BOOST_TEST(FindHeader(response.headers, "X-Balsamhall-Request-Id") == "id");
 }
 
+const gateway::LeaseHolder kHolder{{"i-1", 5}, "10.0.0.1:1"};
+
+// A grant without the endpoint's id was taken by its successor.
+BOOST_AUTO_TEST_CASE(lease_calls_name_their_endpoint) {
+  const HttpDialect dialect;
+  const auto expects = [](const HttpRequest& request) {
+    return FindHeader(request.headers, "X-Balsamhall-Expect-Instance");
+  };
+  gateway::GrantCall grant;
+  grant.to = kHolder;
+  BOOST_TEST(expects(dialect.ToGrant(grant)) == "i-1");
+  gateway::ReleaseCall release;
+  release.from = kHolder;
+  BOOST_TEST(expects(dialect.ToRelease(release)) == "i-1");
+}
+
+struct CallResponseCase {
+  const char* name;
+  HttpResponse response;
+  gateway::CallOutcome outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const CallResponseCase& c) {
+  return out << c.name;
+}
+
+const CallResponseCase kCallResponses[] = {
+    {"done", {200, {}, ""}, gateway::CallOutcome::kDone},
+    {"a higher fence", {409, {}, ""}, gateway::CallOutcome::kRefused},
+    {"another endpoint",
+     {421, {{"X-Balsamhall-Instance-Id", "i-2"}}, ""},
+     gateway::CallOutcome::kOtherEndpoint},
+    {"a refusal by the endpoint itself",
+     {421, {{"X-Balsamhall-Instance-Id", "i-1"}}, ""},
+     gateway::CallOutcome::kUnanswered},
+    {"a refusal that names no endpoint",
+     {421, {{"X-Balsamhall-Not-Executed", "1"}}, ""},
+     gateway::CallOutcome::kUnanswered},
+    {"an error", {500, {}, ""}, gateway::CallOutcome::kUnanswered},
+};
+
+// Only another endpoint's name proves that the holder has ended.
+BOOST_DATA_TEST_CASE(responses_to_lease_calls, data::make(kCallResponses),
+                     call) {
+  const auto result = HttpDialect().ReadCallResult(kHolder.ref, call.response);
+  BOOST_TEST((result.outcome == call.outcome));
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
--- a/Tests/UsersPlatform/gateway_path_test.cc
+++ b/Tests/UsersPlatform/gateway_path_test.cc
@@ -126,6 +126,39 @@
   BOOST_TEST(Send(Request("/keyed/x", "id-5")).status == 200U);
 }
 
+struct SuccessorCase {
+  const char* name;
+  const char* id;  // of the process that starts at the address
+};
+
+std::ostream& operator<<(std::ostream& out, const SuccessorCase& c) {
+  return out << c.name;
+}
+
+const SuccessorCase kSuccessors[] = {{"under another id", "i-4"},
+                                     {"under the same id", "i-3"}};
+
+// The store refuses the gateway, so the registry shows the ended endpoint: its
+// successor took the next renewal with the same fence.
+BOOST_DATA_TEST_CASE_F(GatewayFixture,
+                       a_successor_at_the_address_does_not_take_the_lease,
+                       data::make(kSuccessors), successor) {
+  BOOST_REQUIRE(RunUntil([this] { return keyed.Holds(77); }));
+  BOOST_REQUIRE(RunUntil(
+      [this] { return Send(Request("/keyed/x", "id-4")).status == 200; }));
+  store.set_fault(StoreFault::kBusy);
+  RunFor(loop, Milliseconds(1'000));
+  keyed.Restart(successor.id);
+  BOOST_TEST(!RunUntil([this] { return keyed.Holds(77); },
+                       gateway::LeaseKeeper::kLeaseTime));
+  // The registry shows the successor, and it gets the keys with a higher fence.
+  store.set_fault(StoreFault::kNone);
+  store.Put("keyed.servers", "i-3", "");
+  store.Put("keyed.servers", keyed.id(), keyed.Entry("keyed", "ready"));
+  BOOST_TEST(
+      RunUntil([this] { return keyed.Holds(77); }, Milliseconds(30'000)));
+}
+
 struct StoreCase {
   const char* name;
   StoreFault fault;
