--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -39,6 +39,11 @@
     {"nested address", "\"10.0.0.2:80\"", Nested(kDeep)},
     {"nested slots", "\"slots\":2", "\"slots\":" + Nested(kDeep)},
     {"nested status", "{\"state\":", "[" + Nested(kDeep) + "],\"s\":{\"x\":"},
+    {"port 0", "10.0.0.2:80", "10.0.0.2:0"},
+    {"port 99999", "10.0.0.2:80", "10.0.0.2:99999"},
+    {"port of many digits", "10.0.0.2:80", "10.0.0.2:" + std::string(999, '8')},
+    {"host that is no ip", "10.0.0.2:80", "10.0.0.256:80"},
+    {"no host", "10.0.0.2:80", ":80"},
     {"slots too large for unsigned", "\"slots\":2", "\"slots\":4294967298"},
     {"slots too large for int64", "\"slots\":2",
      "\"slots\":9223372036854775809"},
@@ -137,6 +142,13 @@
   }
 };
 
+BOOST_FIXTURE_TEST_CASE(gateway_follows_the_list_past_odd_entries,
+                        OddEntriesFixture) {
+  PutOddEntries();
+  RunFor(loop, Milliseconds(1'200));
+  CheckThatTheListIsFollowed();
+}
+
 BOOST_FIXTURE_TEST_CASE(entry_that_turns_odd_names_no_endpoint,
                         OddEntriesFixture) {
   store.Put("keyed.servers", plain1.id(), Nested(kDeep));
