--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -81,6 +81,16 @@
   BOOST_TEST(entry.has_value());
 }
 
+const std::string kOddIds[] = {"", "a\r\nb", "a b", "\xff\xfe",
+                               std::string("a\0b", 3)};
+
+// The header that names the expected endpoint is left out or wrong for such an
+// id, so any endpoint at the address would run the request.
+BOOST_DATA_TEST_CASE(entry_under_an_id_that_cannot_be_sent_is_rejected,
+                     data::make(kOddIds), id) {
+  BOOST_TEST(!ParseRegistryEntry(id, kEntry));
+}
+
 const std::vector<OddValue> kOddConfigs = {
     {"nested arrays", "{\"version\"", Nested(kDeep) + "{\"version\""},
     {"nested routes", "\"limits\"",
@@ -127,6 +137,9 @@
       }
       store.Put("keyed.servers", "odd-" + std::to_string(number++), text);
     }
+    for (const std::string& id : kOddIds) {
+      store.Put("keyed.servers", id, plain1.Entry("plain", "ready"));
+    }
   }
 
   void CheckThatTheListIsFollowed() {
