--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -126,6 +126,27 @@
   BOOST_TEST(!ParseOperatorConfig(Replaced(kConfig, odd.from, odd.to)));
 }
 
+const std::string kOddLoads[] = {"4294967295,1,4294967295",
+                                 "1,1,4294967295",
+                                 "4294967295,4294967295,2",
+                                 "1,1,4294967296",
+                                 "-1,0,2",
+                                 "1,1",
+                                 "1,1,2,3",
+                                 "",
+                                 ",,",
+                                 "\xff"};
+
+// One such response made an endpoint look idle with four thousand million
+// slots.
+BOOST_DATA_TEST_CASE(odd_load_of_an_endpoint_is_ignored, data::make(kOddLoads),
+                     load) {
+  const HttpDialect dialect;
+  const auto response = dialect.ReadBackendResponse(
+      {200, {{"X-Balsamhall-Server-Load", load}}, ""});
+  BOOST_TEST(!response.load);
+}
+
 struct OddEntriesFixture : GatewayFixture {
   // Leaves every odd entry under an id of its own.
   void PutOddEntries() {
