--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -147,6 +147,23 @@
   BOOST_TEST(!response.load);
 }
 
+const std::string kOddHandovers[] = {"\xff\xfe", "a\x80"};
+
+// The grant with the handover was written as JSON, which fails for such bytes;
+// the exception ended the process.
+BOOST_DATA_TEST_CASE(handover_that_is_not_utf8_does_not_end_the_process,
+                     data::make(kOddHandovers), handover) {
+  const HttpDialect dialect;
+  const auto result =
+      dialect.ReadCallResult({200, {{"X-Balsamhall-Handover", handover}}, ""});
+  BOOST_TEST((result.outcome == gateway::CallOutcome::kDone));
+  gateway::GrantCall grant;
+  grant.handover = result.handover;
+  std::string body;
+  BOOST_REQUIRE_NO_THROW(body = dialect.ToGrant(grant).body);
+  BOOST_TEST(!json::parse(body).contains("handover"));
+}
+
 struct OddEntriesFixture : GatewayFixture {
   // Leaves every odd entry under an id of its own.
   void PutOddEntries() {
