--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -164,6 +164,22 @@
   BOOST_TEST(!json::parse(body).contains("handover"));
 }
 
+const std::string kOddPorts[] = {"0",       "70000", "4294974916",
+                                 "-1",      "1.5",   "18446744073709551615",
+                                 "\"7620\""};
+
+BOOST_DATA_TEST_CASE(odd_port_in_the_settings_is_rejected,
+                     data::make(kOddPorts), port) {
+  const std::string settings = R"({"node":"f","zone":"a","ip":"10.0.0.1",
+      "zones":{"a":"n"},"listen":{"front":"10.0.0.1:1","ready":"10.0.0.1:2"},
+      "internal_ports":[PORT,7635],"heartbeat":"870ms",
+      "platform":{"address":"10.0.0.9:9","ttl_min":"1000ms"},
+      "bounds":{"grace":"6s","retry_budget_ratio":0.2,"budget_window":"10s",
+                "retry_budget_slack":58}})";
+  BOOST_REQUIRE(ParseSettings(Replaced(settings, "PORT", "7620")));
+  BOOST_TEST(!ParseSettings(Replaced(settings, "PORT", port)));
+}
+
 struct OddEntriesFixture : GatewayFixture {
   // Leaves every odd entry under an id of its own.
   void PutOddEntries() {
