Bound the memory of rejected registry entries

Cause: to log each error of an entry once, the gateway kept every id with the whole text of every error, without end. The text may quote the entry, which has any length, and a writer that writes a different odd entry each time makes a new text each time.

An odd entry is logged when it turns odd, not per read and not per text. A counter shows the rest.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +21,7 @@
 #include "gateway/gateway.h"
 #include "gateway/lease_keeper.h"
 #include "gateway/peer_state.h"
+#include "gateway/rejected_records.h"
 #include "gateway/store_follower.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -74,6 +74,8 @@
   void ApplyConfig(const std::string& text);
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
+  // Logs an entry that names no endpoint to use, once until it does again.
+  void OnEntryRejected(const EndpointId& id, const Error& error);
   void OnRegistryChanges(const std::vector<EndpointRegistry::Change>& changes);
   void OnLeasesPage(const LogPage& page, BootTime as_of);
   void OnGatewaysPage(const LogPage& page);
@@ -151,8 +153,7 @@
   std::vector<LongPoll> long_polls_;
   RouterId last_peer_;
   bool peer_request_pending_ = false;
-  // Registry entries and their errors that have been logged.
-  std::set<std::pair<EndpointId, std::string>> rejected_entries_;
+  RejectedRecords rejected_records_;
 
   std::unique_ptr<HttpServer> front_server_;
   std::unique_ptr<HttpServer> readiness_server_;
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -144,17 +144,26 @@
            {"routes", std::to_string(routes_->config().routes.size())}});
 }
 
+void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
+  metrics_.Add("endpoint_entries_rejected_total", "", 1);
+  if (!rejected_records_.Add(Log::kEndpointRegistry, id)) return;
+  LogEvent(EventLevel::kWarning, "endpoint_entry_rejected",
+           static_cast<unsigned>(error.code),
+           {{"endpoint", id}, {"detail", error.detail}});
+}
+
 std::optional<EndpointInfo> Gateway::Impl::ParseEntry(
     const KeyedRecord& record) {
-  if (!record.value) return std::nullopt;
+  if (!record.value) {
+    rejected_records_.Remove(Log::kEndpointRegistry, record.key);
+    return std::nullopt;
+  }
   auto entry = parsers_.endpoint(record.key, *record.value);
-  if (entry) return std::move(entry.value());
-  // Each error of an entry is logged once.
-  if (rejected_entries_.emplace(record.key, entry.error().detail).second) {
-    LogEvent(EventLevel::kWarning, "endpoint_entry_rejected",
-             static_cast<unsigned>(entry.error().code),
-             {{"endpoint", record.key}, {"detail", entry.error().detail}});
+  if (entry) {
+    rejected_records_.Remove(Log::kEndpointRegistry, record.key);
+    return std::move(entry.value());
   }
+  OnEntryRejected(record.key, entry.error());
   return std::nullopt;
 }
 
