Keep the other items of a store page when one is unreadable

What was seen: one item of a page of newest records that cannot be read failed the whole read. The gateway repeats that read until it succeeds, so it never gets a list: a start never became ready, and after the log was truncated nobody followed the list again.

Cause: the loop over the items and the whole page shared one handler of errors.

Change: each item is read by itself. One that cannot be read is set aside with its key and the error; the gateway logs it like an entry that cannot be parsed, once and not per read.

--- a/Source/gateway/coordination_store.h
+++ b/Source/gateway/coordination_store.h
@@ -22,10 +22,17 @@
   std::uint64_t offset = 0;
 };
 
+// A record that the store's client could not read.
+struct UnreadableRecord {
+  std::string key;  // empty if the key is unreadable too
+  std::string detail;
+};
+
 // Result of a read. The records are in log order.
 struct LogPage {
   bool is_snapshot = false;  // newest record of each key
   std::vector<KeyedRecord> records;
+  std::vector<UnreadableRecord> rejected;
   std::uint64_t next = 0;     // offset of the next read
   std::uint64_t log_end = 0;  // offset at which the log ended
 };
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -172,6 +172,10 @@
   std::vector<EndpointRegistry::Change> changes;
   if (page.is_snapshot) {
     std::map<EndpointId, EndpointInfo> entries;
+    for (const UnreadableRecord& record : page.rejected) {
+      OnEntryRejected(record.key,
+                      {ResultCode::kLogRecordMalformed, record.detail});
+    }
     for (const KeyedRecord& record : page.records) {
       if (auto entry = ParseEntry(record)) {
         entries.insert_or_assign(record.key, std::move(*entry));
