Continue the newest records after any key

What was seen: with the key a&b=c or a%41 at the end of a page, the next page was requested after another key. The store sent the same page again, and the read went on without end and kept every page in memory.

Cause: the key went into the query without encoding, the next key was taken from the last readable record only, and nothing noticed that the pages did not advance.

--- a/Tests/UsersPlatform/odd_pages_test.cc
+++ b/Tests/UsersPlatform/odd_pages_test.cc
@@ -123,6 +123,32 @@
   BOOST_TEST(result.page->is_snapshot);
 }
 
+const std::string kKeysToEscape[] = {"a&b=c", "a b", "a%41",
+                                     "a#b",   "a+b", "\xc3\xa9"};
+
+// The next page was requested after another key, the first one came again, and
+// the read never ended.
+BOOST_DATA_TEST_CASE_F(PageFixture, reading_continues_after_any_key,
+                       data::make(kKeysToEscape), key) {
+  const auto result = ReadNewest([&](const std::string& after) {
+    return after == key ? Page(Item("z", 2))
+                        : Page(Item("a", 0) + "," + Item(key, 1), true);
+  });
+  BOOST_REQUIRE_MESSAGE(result.page, result.detail);
+  BOOST_TEST(Keys(result) == "a " + key + " z ");
+  BOOST_TEST(targets.size() == 2U);
+}
+
+const std::string kPagesWithoutEnd[] = {Page(Item("a", 0), true),
+                                        Page("", true), Page("{}", true)};
+
+BOOST_DATA_TEST_CASE_F(PageFixture, pages_that_do_not_advance_are_no_result,
+                       data::make(kPagesWithoutEnd), page) {
+  const auto result = ReadNewest([&](const std::string&) { return page; });
+  BOOST_TEST(!result.page);
+  BOOST_TEST(targets.size() <= 2U);
+}
+
 const std::string kOddPages[] = {
     "",
     "null",
