--- a/Tests/UsersPlatform/odd_pages_test.cc
+++ b/Tests/UsersPlatform/odd_pages_test.cc
@@ -149,6 +149,21 @@
   BOOST_TEST(targets.size() <= 2U);
 }
 
+// The platform does not say how it writes a key that is not UTF-8 in JSON.
+BOOST_FIXTURE_TEST_CASE(key_that_is_not_utf8_does_not_fail_its_page,
+                        PageFixture) {
+  const auto result = ReadNewest([](const std::string& after) {
+    if (!after.empty()) return Page(Item("z", 3));
+    return Page(Item("a", 0) + "," + Item("b", 1) + "," + Item("\xff\xfe", 2),
+                true);
+  });
+  BOOST_REQUIRE_MESSAGE(result.page, result.detail);
+  BOOST_REQUIRE(result.page->records.size() == 4U);
+  BOOST_TEST(result.page->records[0].key == "a");
+  BOOST_TEST(result.page->records[3].key == "z");
+  BOOST_TEST(targets.back().ends_with("after=b"));
+}
+
 const std::string kOddPages[] = {
     "",
     "null",
