Reject lease tables that no gateway wrote

What callers saw: after a record of two bytes in the topic of the lease tables, requests for keys were answered 503 until the leader had made a new table (43 of 60 in the test).

Cause: the bytes parse as a record with unknown fields only, so they counted as a table without leader and ranges, and replaced the table in force. The holders of the keys were forgotten with it, so that the leader assigned the keys without waiting for the leases that still ran: the way to two holders of a key. A fence above the version of its table was accepted as well; endpoints would then refuse every later grant.

Change: a table names its leader, and each range its owner and a fence that is not above the version, which are true for every table that a gateway writes.

Evidence: odd_lease_table_is_rejected failed for six of ten records, and odd_lease_table_does_not_replace_the_one_in_force with 43 answers of 503 before; both pass now.

--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -257,10 +257,8 @@
 HttpResponse Gateway::Impl::OnPeerTable(const std::string& service,
                                         std::uint64_t version,
                                         const std::string& body) {
-  auto table = ParseLeaseTable(body);
+  auto table = ParseLeaseTable(body, service, version);
   if (!table) return {400, {}, table.error().detail};
-  table.value().service = service;
-  table.value().version = version;
   AdoptTable(std::move(table.value()), "mover");
   LeaseKeeper& keeper = Keeper(service);
   if (keeper.table().version < version) return {409, {}, ""};
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -245,15 +245,16 @@
 void Gateway::Impl::OnLeasesPage(const LogPage& page, BootTime as_of) {
   for (const KeyedRecord& record : page.records) {
     if (!record.value) continue;
-    auto table = ParseLeaseTable(*record.value);
+    auto table = ParseLeaseTable(*record.value, record.key, record.offset + 1);
     if (!table) {
-      LogEvent(EventLevel::kError, "lease_table_rejected",
-               static_cast<unsigned>(table.error().code),
-               {{"service", record.key}, {"detail", table.error().detail}});
+      if (rejected_records_.Add(Log::kLeases, record.key)) {
+        LogEvent(EventLevel::kError, "lease_table_rejected",
+                 static_cast<unsigned>(table.error().code),
+                 {{"service", record.key}, {"detail", table.error().detail}});
+      }
       continue;
     }
-    table.value().service = record.key;
-    table.value().version = record.offset + 1;
+    rejected_records_.Remove(Log::kLeases, record.key);
     AdoptTable(std::move(table.value()), "store");
   }
   if (page.next < page.log_end) return;
--- a/Source/gateway/lease_table.cc
+++ b/Source/gateway/lease_table.cc
@@ -105,6 +105,13 @@
     return Malformed("not a lease table");
   }
   if (!ValidRanges(record)) return Malformed("ranges overlap or are unordered");
+  // Bytes of another kind may parse as a record with unknown fields only.
+  if (record.mover().router().empty()) return Malformed("no leader");
+  const bool complete =
+      std::ranges::all_of(record.ranges(), [](const auto& range) {
+        return !range.owner().endpoint().empty() && range.fence() > 0;
+      });
+  if (!complete) return Malformed("range without owner or fence");
   LeaseTable table;
   table.leader = FromRecord(record.mover());
   std::ranges::transform(record.renewers(), std::back_inserter(table.renewers),
@@ -114,6 +121,21 @@
   return table;
 }
 
+Result<LeaseTable> ParseLeaseTable(std::string_view bytes,
+                                   const ServiceId& service,
+                                   std::uint64_t version) {
+  auto table = ParseLeaseTable(bytes);
+  if (!table) return table;
+  // Endpoints would refuse every later grant.
+  const bool later = std::ranges::any_of(
+      table.value().ranges,
+      [&](const RangeLease& lease) { return lease.fence > version; });
+  if (later) return Malformed("fence above the table's version");
+  table.value().service = service;
+  table.value().version = version;
+  return table;
+}
+
 std::string SerializeGatewayInstance(const GatewayInstance& gateway) {
   return ToRecord(gateway).SerializeAsString();
 }
--- a/Source/gateway/lease_table.h
+++ b/Source/gateway/lease_table.h
@@ -70,11 +70,15 @@
 };
 
 // Codec of the record in the store. ParseLeaseTable returns kLogRecordMalformed
-// for other bytes and for ranges that overlap or are unordered. Version and
-// service are not part of the bytes: they follow from the record's offset and
-// key.
+// for other bytes, for ranges that overlap or are unordered, and if the leader,
+// an owner or a fence is missing. Version and service are not part of the
+// bytes: they follow from the record's offset and key. With a version, a fence
+// above it is malformed as well.
 std::string SerializeLeaseTable(const LeaseTable& table);
 Result<LeaseTable> ParseLeaseTable(std::string_view bytes);
+Result<LeaseTable> ParseLeaseTable(std::string_view bytes,
+                                   const ServiceId& service,
+                                   std::uint64_t version);
 
 // Codec of the record with which a gateway registers in the store.
 // ParseGatewayInstance returns kLogRecordMalformed for other bytes.
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -128,10 +128,9 @@
     }
   }
   for (const auto& published : record.tables()) {
-    auto table = ParseLeaseTable(published.table().SerializeAsString());
+    auto table = ParseLeaseTable(published.table().SerializeAsString(),
+                                 published.service(), published.version());
     if (!table) return table.error();
-    table.value().service = published.service();
-    table.value().version = published.version();
     state.tables.push_back(std::move(table.value()));
   }
   state.leases_end = record.leases_end();
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -19,6 +19,78 @@
 namespace data = boost::unit_test::data;
 using stand_in::Nested;
 
+const GatewayInstance kLeader{"r1", 7, "10.0.0.1:1", "a"};
+const LeaseHolder kOwner{{"e", 1}, "10.0.0.3:1"};
+
+LeaseTable MakeTable() {
+  LeaseTable table;
+  table.leader = kLeader;
+  table.renewers = {kLeader, {"r2", 8, "10.0.0.2:1", "b"}};
+  table.ranges = {{{0, 9}, kOwner, 3, true, {}, Milliseconds(0)},
+                  {{10, 65'535}, kOwner, 4, false, kOwner, Milliseconds(150)}};
+  return table;
+}
+
+PeerState MakeState() {
+  PeerState state;
+  state.store_reachable = true;
+  state.config = "text";
+  state.registry_offset = 9;
+  state.endpoints.emplace();
+  state.endpoints->emplace(
+      "e", EndpointInfo{{"e", 1}, "s", "10.0.0.3:1", "a", 2, false, {}});
+  state.tables = {MakeTable()};
+  state.tables[0].service = "s";
+  state.tables[0].version = 5;
+  state.leases_end = 5;
+  state.leases_age = Milliseconds(120);
+  return state;
+}
+
+// Bytes of groups that are nested this deep.
+std::string NestedGroups(std::size_t depth) {
+  return std::string(depth, '\x7b') + std::string(depth, '\x7c');
+}
+
+struct OddBytes {
+  std::string name;
+  std::string bytes;
+};
+
+std::ostream& operator<<(std::ostream& out, const OddBytes& odd) {
+  return out << odd.name;
+}
+
+std::string TableWithout(void (*change)(LeaseTable&)) {
+  LeaseTable table = MakeTable();
+  change(table);
+  return SerializeLeaseTable(table);
+}
+
+const std::vector<OddBytes> kOddTables = {
+    {"text", "{\"a\":1}"},
+    {"nested JSON", Nested(300'000)},
+    {"nested groups", NestedGroups(300'000)},
+    {"other fields only", "\x78\x01"},
+    {"not UTF-8", "\x0a\x04\x0a\x02\xff\xfe"},
+    {"no leader", TableWithout([](LeaseTable& t) { t.leader = {}; })},
+    {"no owner", TableWithout([](LeaseTable& t) { t.ranges[0].owner = {}; })},
+    {"no fence", TableWithout([](LeaseTable& t) { t.ranges[0].fence = 0; })},
+    {"fence above the version",
+     TableWithout([](LeaseTable& t) { t.ranges[0].fence = 6; })},
+    {"fence too large for int64", TableWithout([](LeaseTable& t) {
+       t.ranges[0].fence = std::numeric_limits<std::uint64_t>::max();
+     })},
+};
+
+// The bytes replaced the table in force: its holders were unknown, so their
+// keys were granted to others at once.
+BOOST_DATA_TEST_CASE(odd_lease_table_is_rejected, data::make(kOddTables), odd) {
+  BOOST_TEST(
+      ParseLeaseTable(SerializeLeaseTable(MakeTable()), "s", 5).has_value());
+  BOOST_TEST(!ParseLeaseTable(odd.bytes, "s", 5));
+}
+
 BOOST_AUTO_TEST_CASE(rejected_record_is_logged_once) {
   RejectedRecords rejected;
   BOOST_TEST(rejected.Add(Log::kEndpointRegistry, "a"));
--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -236,6 +236,23 @@
   BOOST_TEST(plain1.total_runs() == before + 1);
 }
 
+// The bytes parse as a table without ranges; it replaced the table in force.
+BOOST_FIXTURE_TEST_CASE(odd_lease_table_does_not_replace_the_one_in_force,
+                        GatewayFixture) {
+  BOOST_REQUIRE(RunUntil(
+      [this] { return Send(Request("/keyed/x", "id-1")).status == 200; }));
+  for (const std::string& table :
+       {std::string("\x78\x01"), std::string("\xff\xff"), Nested(kDeep)}) {
+    store.Put("keyed.balsamhall-leases", "keyed", table);
+    for (int i = 0; i < 20; ++i) {
+      BOOST_TEST(Send(Request("/keyed/x", "id-2")).status == 200U);
+      RunFor(loop, Milliseconds(20));
+    }
+  }
+  RunFor(loop, gateway::LeaseKeeper::kLeaseTime + Milliseconds(500));
+  BOOST_TEST(Send(Request("/keyed/x", "id-3")).status == 200U);
+}
+
 BOOST_FIXTURE_TEST_CASE(odd_records_of_gateways_do_not_matter, GatewayFixture) {
   const std::string odd[] = {
       "\xff\xff",
