Reject records of gateways under another key or without an address

Cause: the list of gateways was filled by the id inside the record, whatever its key and address. A record left by another writer replaced the address of a gateway, or added a gateway that nobody can reach; the others follow the one with the lowest id and name such gateways as renewers, for which moves wait.

Change: the key is the id and the address an ip and a port; others are logged once.

--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -265,11 +265,16 @@
 
 void Gateway::Impl::OnGatewaysPage(const LogPage& page) {
   for (const KeyedRecord& record : page.records) {
-    const auto gateway = record.value
-                             ? ParseGatewayInstance(*record.value)
-                             : Result<GatewayInstance>(Error{
-                                   ResultCode::kLogRecordMalformed, "dropped"});
-    if (gateway) gateways_[gateway.value().id] = gateway.value();
+    if (!record.value) continue;
+    const auto gateway = ParseGatewayInstance(record.key, *record.value);
+    if (gateway) {
+      rejected_records_.Remove(Log::kGateways, record.key);
+      gateways_[gateway.value().id] = gateway.value();
+    } else if (rejected_records_.Add(Log::kGateways, record.key)) {
+      LogEvent(EventLevel::kWarning, "gateway_record_rejected",
+               static_cast<unsigned>(gateway.error().code),
+               {{"router", record.key}, {"detail", gateway.error().detail}});
+    }
   }
   forwarder_.SetGatewayCount(gateways_.size());
   // If the list arrives too late, following has already started.
--- a/Source/gateway/lease_table.cc
+++ b/Source/gateway/lease_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <ranges>
 
+#include "core/config_rules.h"
 #include "gateway.pb.h"
 
 namespace balsamhall::gateway {
@@ -140,12 +141,15 @@
   return ToRecord(gateway).SerializeAsString();
 }
 
-Result<GatewayInstance> ParseGatewayInstance(std::string_view bytes) {
+Result<GatewayInstance> ParseGatewayInstance(const std::string& key,
+                                             std::string_view bytes) {
   schema::RenewerRecord record;
   if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
       record.router().empty()) {
     return Malformed("record does not decode as a gateway instance");
   }
+  if (record.router() != key) return Malformed("key of another gateway");
+  if (!IsAddress(record.address())) return Malformed("address: not ip:port");
   return FromRecord(record);
 }
 
--- a/Source/gateway/lease_table.h
+++ b/Source/gateway/lease_table.h
@@ -80,10 +80,12 @@
                                    const ServiceId& service,
                                    std::uint64_t version);
 
-// Codec of the record with which a gateway registers in the store.
-// ParseGatewayInstance returns kLogRecordMalformed for other bytes.
+// Codec of the record with which a gateway registers in the store, with its id
+// as the key. ParseGatewayInstance returns kLogRecordMalformed for other bytes,
+// for another gateway's key and for an address that is not ip:port.
 std::string SerializeGatewayInstance(const GatewayInstance& gateway);
-Result<GatewayInstance> ParseGatewayInstance(std::string_view bytes);
+Result<GatewayInstance> ParseGatewayInstance(const std::string& key,
+                                             std::string_view bytes);
 
 }  // namespace balsamhall::gateway
 
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -91,6 +91,23 @@
   BOOST_TEST(!ParseLeaseTable(odd.bytes, "s", 5));
 }
 
+const std::vector<OddBytes> kOddGateways = {
+    {"text", "{\"a\":1}"},
+    {"nested groups", NestedGroups(300'000)},
+    {"other fields only", "\x78\x01"},
+    {"key of another gateway",
+     SerializeGatewayInstance({"r2", 7, "10.0.0.1:1", "a"})},
+    {"no address", SerializeGatewayInstance({"r1", 7, "", "a"})},
+    {"port 99999", SerializeGatewayInstance({"r1", 7, "10.0.0.1:99999", "a"})},
+};
+
+BOOST_DATA_TEST_CASE(odd_record_of_a_gateway_is_rejected,
+                     data::make(kOddGateways), odd) {
+  BOOST_TEST(ParseGatewayInstance("r1", SerializeGatewayInstance(kLeader))
+                 .has_value());
+  BOOST_TEST(!ParseGatewayInstance("r1", odd.bytes));
+}
+
 BOOST_AUTO_TEST_CASE(rejected_record_is_logged_once) {
   RejectedRecords rejected;
   BOOST_TEST(rejected.Add(Log::kEndpointRegistry, "a"));
