Bound the age of the leases in a peer's state

Cause: the age is an unsigned number of milliseconds on the wire. It was converted to int64 and subtracted from a time in nanoseconds, so a large one became negative or overflowed, and the table counted as confirmed in the future. A gateway that holds such a confirmation renews leases without end during an outage, which is the way to two holders of a key.

Evidence: odd_age_of_a_peer_state_confirms_nothing failed for all three ages before, and passes now.

--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -14,6 +14,9 @@
 
 constexpr std::string_view kStatePrefix = "/state/";
 constexpr std::string_view kLongPollPrefix = "/follow/";
+// A day: no lease of a view this old can be running, and times stay far from
+// overflow.
+constexpr std::uint64_t kMaxLeasesAgeMs = 86'400'000;
 
 schema::EndpointRecord ToRecord(const EndpointInfo& endpoint) {
   schema::EndpointRecord record;
@@ -134,8 +137,8 @@
     state.tables.push_back(std::move(table.value()));
   }
   state.leases_end = record.leases_end();
-  state.leases_age =
-      Milliseconds(static_cast<std::int64_t>(record.leases_age_ms()));
+  state.leases_age = Milliseconds(static_cast<std::int64_t>(
+      std::min(record.leases_age_ms(), kMaxLeasesAgeMs)));
   return state;
 }
 
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -35,7 +35,8 @@
   std::optional<std::map<EndpointId, EndpointInfo>> endpoints;
   std::vector<LeaseTable> tables;  // newer than the request's leases_end
   std::uint64_t leases_end = 0;
-  Milliseconds leases_age{0};  // time since the log was known to end there
+  // Time since the log was known to end there; at most a day when parsed.
+  Milliseconds leases_age{0};
 };
 
 // Returns a digest of everything that affects how requests are routed; warm-up
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -108,6 +108,26 @@
   BOOST_TEST(!ParseGatewayInstance("r1", odd.bytes));
 }
 
+const std::uint64_t kOddAges[] = {
+    std::numeric_limits<std::uint64_t>::max(),
+    static_cast<std::uint64_t>(std::numeric_limits<std::int64_t>::max()),
+    // As nanoseconds, 146 years in the future.
+    13'835'058'055'282,
+};
+
+// A confirmation in the future let a gateway renew leases without end.
+BOOST_DATA_TEST_CASE(odd_age_of_a_peer_state_confirms_nothing,
+                     data::make(kOddAges), age) {
+  schema::PeerStateRecord record;
+  record.set_store_reachable(true);
+  record.set_leases_age_ms(age);
+  const auto state = ParsePeerState(record.SerializeAsString());
+  BOOST_REQUIRE(state);
+  const BootTime now{std::chrono::hours(1)};
+  BOOST_TEST(
+      (now - state.value().leases_age <= now - LeaseKeeper::kMaxViewAge));
+}
+
 BOOST_AUTO_TEST_CASE(rejected_record_is_logged_once) {
   RejectedRecords rejected;
   BOOST_TEST(rejected.Add(Log::kEndpointRegistry, "a"));
