Bound the time since a renewal that a gateway reports

Cause: a gateway that adopts a table states in a header when it last sent a renewal.

Change: a negative time counts as a renewal just now, and none counts as longer ago than kMaxViewAge, before which every lease has ended.

Evidence: odd_time_since_a_renewal_does_not_stop_a_move failed for that number before, and passes now.

--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -249,7 +249,12 @@
 void LeaseKeeper::OnAdopted(const GatewayInstance& gateway,
                             std::uint64_t version, Milliseconds since_renewal,
                             BootTime now) {
-  adoptions_[gateway.id] = {gateway.incarnation, version, now - since_renewal};
+  // The time comes from another program: one out of range must neither overflow
+  // nor count as an old renewal.
+  const auto since = since_renewal < Milliseconds(0)
+                         ? Milliseconds(0)
+                         : std::min(since_renewal, kMaxViewAge);
+  adoptions_[gateway.id] = {gateway.incarnation, version, now - since};
 }
 
 BootTime LeaseKeeper::PreviousLeaseEnd(const LeaseHolder& previous) const {
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -128,6 +128,32 @@
       (now - state.value().leases_age <= now - LeaseKeeper::kMaxViewAge));
 }
 
+// The leader waited without end for the leases of this gateway.
+BOOST_DATA_TEST_CASE(odd_time_since_a_renewal_does_not_stop_a_move,
+                     data::make(kOddAges), since) {
+  const BootTime start{std::chrono::hours(1)};
+  const GatewayInstance other{"r2", 1, "10.0.0.2:1", "b"};
+  LeaseKeeper keeper("s", kLeader, start - std::chrono::minutes(5));
+  LeaseTable table = MakeTable();
+  table.version = 5;
+  table.renewers = {kLeader, other};
+  const LeaseHolder next{{"n", 1}, "10.0.0.4:1"};
+  table.ranges = {{{0, 65'535}, next, 5, false, kOwner, Milliseconds(0)}};
+  keeper.OnEndpoints({{next, 2}}, start);
+  keeper.OnTable(table, start);
+  keeper.OnElection(true);
+  keeper.OnAdopted(other, 5, Milliseconds{static_cast<std::int64_t>(since)},
+                   start);
+  const BootTime later =
+      start + LeaseKeeper::kMaxViewAge + 2 * LeaseKeeper::kLeaseTime;
+  keeper.OnLogEnd(5, later);
+  bool granted = false;
+  for (const LeaseAction& action : keeper.Tick(later)) {
+    granted = granted || std::holds_alternative<GrantCall>(action);
+  }
+  BOOST_TEST(granted);
+}
+
 BOOST_AUTO_TEST_CASE(rejected_record_is_logged_once) {
   RejectedRecords rejected;
   BOOST_TEST(rejected.Add(Log::kEndpointRegistry, "a"));
