Keep a long warm-up long in a peer's state

Cause: the warm-up time left was cut to 32 bits, so 2^32 ms became none for the gateways that follow another one.

Change: it is limited to the largest value of the field.

Evidence: warm_up_too_long_for_its_field_stays_long failed before, and passes now.

--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <ranges>
 
 #include "gateway.pb.h"
@@ -27,8 +28,9 @@
   record.set_data_centre(endpoint.data_centre);
   record.set_slots(endpoint.slots);
   record.set_draining(endpoint.draining);
-  record.set_cold_left_ms(
-      static_cast<std::uint32_t>(endpoint.warm_up_left.count()));
+  record.set_cold_left_ms(static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(endpoint.warm_up_left.count(), 0,
+                               std::numeric_limits<std::uint32_t>::max())));
   return record;
 }
 
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -154,6 +154,15 @@
   BOOST_TEST(granted);
 }
 
+BOOST_AUTO_TEST_CASE(warm_up_too_long_for_its_field_stays_long) {
+  PeerState state = MakeState();
+  state.endpoints->at("e").warm_up_left = Milliseconds(std::int64_t{1} << 32U);
+  const auto parsed = ParsePeerState(SerializePeerState(state));
+  BOOST_REQUIRE(parsed);
+  BOOST_TEST((parsed.value().endpoints->at("e").warm_up_left >
+              std::chrono::hours(24)));
+}
+
 BOOST_AUTO_TEST_CASE(rejected_record_is_logged_once) {
   RejectedRecords rejected;
   BOOST_TEST(rejected.Add(Log::kEndpointRegistry, "a"));
