Bound the values of log events

Cause: the error of a text that does not parse quotes its last token, which may be the whole foreign text. A log line of a megabyte per odd entry was possible.

Change: a value ends after 4,096 bytes with "...".

Evidence: the new row of EventValuesAreQuoted covers it; the code before had no limit.

--- a/Source/telemetry/event_log.cc
+++ b/Source/telemetry/event_log.cc
@@ -11,6 +11,8 @@
 namespace {
 
 constexpr std::size_t kQueuedLines = 8192;
+// A detail may quote a foreign text of any length.
+constexpr std::size_t kMaxValueBytes = 4096;
 constexpr const char* kPattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
 
 std::shared_ptr<spdlog::logger>& Logger() {
@@ -76,7 +78,11 @@
     line += ' ';
     line += key;
     line += '=';
-    AppendValue(line, value);
+    if (value.size() <= kMaxValueBytes) {
+      AppendValue(line, value);
+    } else {
+      AppendValue(line, value.substr(0, kMaxValueBytes) + "...");
+    }
   }
   return line;
 }
--- a/Source/telemetry/event_log.h
+++ b/Source/telemetry/event_log.h
@@ -14,7 +14,8 @@
 using EventFields = std::vector<std::pair<std::string, std::string>>;
 
 // Returns "event=NAME code=N key=value ..."; values that hold spaces, quotes,
-// equals signs or control characters are quoted and escaped. Thread-safe.
+// equals signs or control characters are quoted and escaped, and longer ones
+// end after 4,096 bytes with "...". Thread-safe.
 std::string FormatEvent(std::string_view event, unsigned code,
                         const EventFields& fields);
 
--- a/Tests/Telemetry/telemetry_test.cc
+++ b/Tests/Telemetry/telemetry_test.cc
@@ -37,6 +37,8 @@
         {{{"k", "a\"b\\c"}}, "event=e code=7 k=\"a\\\"b\\\\c\""},
         {{{"k", "a\nlevel=x"}}, "event=e code=7 k=\"a\\nlevel=x\""},
         {{{"k", "a\x01"}}, "event=e code=7 k=\"a\\x01\""},
+        {{{"k", std::string(1'000'000, 'x')}, {"l", "m"}},
+         "event=e code=7 k=" + std::string(4'096, 'x') + "... l=m"},
     }),
     line) {
   BOOST_CHECK_EQUAL(FormatEvent("e", 7, line.fields), line.expected);
