--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -17,7 +17,12 @@
 namespace {
 
 namespace data = boost::unit_test::data;
+using stand_in::Mutation;
 using stand_in::Nested;
+using stand_in::OddSeeds;
+
+constexpr int kSeeds = 20;
+constexpr int kChangesPerSeed = 200;
 
 const GatewayInstance kLeader{"r1", 7, "10.0.0.1:1", "a"};
 const LeaseHolder kOwner{{"e", 1}, "10.0.0.3:1"};
@@ -183,5 +188,47 @@
   BOOST_TEST(rejected.size() == RejectedRecords::kMaxRecords);
 }
 
+void CheckTable(const LeaseTable& table) {
+  BOOST_TEST(!table.leader.id.empty());
+  std::int64_t last = -1;
+  for (const RangeLease& lease : table.ranges) {
+    BOOST_TEST(lease.range.first > last);
+    BOOST_TEST(lease.range.first <= lease.range.last);
+    BOOST_TEST(!lease.owner.ref.empty());
+    BOOST_TEST(lease.fence <= table.version);
+    last = lease.range.last;
+  }
+}
+
+BOOST_DATA_TEST_CASE(random_lease_tables,
+                     data::xrange(OddSeeds(kSeeds).first,
+                                  OddSeeds(kSeeds).second),
+                     seed) {
+  Mutation mutate(seed);
+  const std::string good = SerializeLeaseTable(MakeTable());
+  const std::string gateway = SerializeGatewayInstance(kLeader);
+  for (int i = 0; i < kChangesPerSeed; ++i) {
+    const auto table = ParseLeaseTable(mutate(good), "s", 5);
+    if (table) CheckTable(table.value());
+    const auto instance = ParseGatewayInstance("r1", mutate(gateway));
+    if (instance) BOOST_TEST(instance.value().id == "r1");
+  }
+}
+
+BOOST_DATA_TEST_CASE(random_peer_states,
+                     data::xrange(OddSeeds(kSeeds).first,
+                                  OddSeeds(kSeeds).second),
+                     seed) {
+  Mutation mutate(seed);
+  const std::string good = SerializePeerState(MakeState());
+  for (int i = 0; i < kChangesPerSeed; ++i) {
+    const auto state = ParsePeerState(mutate(good));
+    ParsePeerStateRequest(mutate("/follow/12/34/56"));
+    if (!state) continue;
+    BOOST_TEST(state.value().leases_age.count() >= 0);
+    for (const LeaseTable& table : state.value().tables) CheckTable(table);
+  }
+}
+
 }  // namespace
 }  // namespace balsamhall::gateway
