Append a lease table again after its record was overwritten

What was seen: after another writer left a record under a service's key in the topic of the lease tables, or deleted that key, no table could be read from the store any more. The gateways that had read the table before kept it in memory and went on; one that started later found none, so as the leader it would have granted all keys without waiting for the leases that ran.

Cause: the store keeps the newest record of a key only, and the leader writes its table only when it changes.

Change: a gateway that reads such a record tells its keeper, and the leader appends the table that it holds once more, under the usual condition.

Evidence: leader_restores_an_overwritten_lease_table failed for both records before, and passes now. Not covered: all gateways that know the table end before the leader has restored it.

--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -244,7 +244,16 @@
 
 void Gateway::Impl::OnLeasesPage(const LogPage& page, BootTime as_of) {
   for (const KeyedRecord& record : page.records) {
-    if (!record.value) continue;
+    const auto keeper = keepers_.find(record.key);
+    const auto on_lost = [&] {
+      if (keeper != keepers_.end()) {
+        keeper->second->OnRecordLost(record.offset + 1);
+      }
+    };
+    if (!record.value) {
+      on_lost();
+      continue;
+    }
     auto table = ParseLeaseTable(*record.value, record.key, record.offset + 1);
     if (!table) {
       if (rejected_records_.Add(Log::kLeases, record.key)) {
@@ -252,6 +261,7 @@
                  static_cast<unsigned>(table.error().code),
                  {{"service", record.key}, {"detail", table.error().detail}});
       }
+      on_lost();
       continue;
     }
     rejected_records_.Remove(Log::kLeases, record.key);
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -88,6 +88,7 @@
   table_ = std::move(table);
   table_.service = service_;
   table_adopted_at_ = now;
+  record_lost_ = false;
   // Ranges that are still in the table keep their progress.
   std::erase_if(progress_, [this](const auto& entry) {
     return std::ranges::none_of(table_.ranges, [&](const RangeLease& lease) {
@@ -104,6 +105,10 @@
   });
 }
 
+void LeaseKeeper::OnRecordLost(std::uint64_t version) {
+  if (version > table_.version) record_lost_ = true;
+}
+
 void LeaseKeeper::OnLogEnd(std::uint64_t end, BootTime as_of) {
   log_end_ = std::max(log_end_, end);
   log_end_known_ = true;
@@ -417,6 +422,13 @@
   return Append(table_, now, actions);
 }
 
+bool LeaseKeeper::RestoreRecord(BootTime now,
+                                std::vector<LeaseAction>& actions) {
+  if (!record_lost_) return false;
+  AddEvent("lease_table_restored", "");
+  return Append(table_, now, actions);
+}
+
 // Makes gateways that joined since the last record renewers as well.
 bool LeaseKeeper::AddMissingRenewers(BootTime now,
                                      std::vector<LeaseAction>& actions) {
@@ -580,8 +592,9 @@
     actions.emplace_back(RereadLog{});
     return actions;
   }
-  if (TakeOver(now, actions) || ConfirmGrants(now, actions) ||
-      PlanChanges(now, actions) || AddMissingRenewers(now, actions)) {
+  if (TakeOver(now, actions) || RestoreRecord(now, actions) ||
+      ConfirmGrants(now, actions) || PlanChanges(now, actions) ||
+      AddMissingRenewers(now, actions)) {
     return actions;
   }
   return actions;
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -110,6 +110,10 @@
   // Adopts a table, read from the store or sent by another gateway, if it is
   // newer than the current one.
   void OnTable(LeaseTable table, BootTime now);
+  // Reports that another writer replaced the record of the table, or deleted
+  // it, with a record that would have this version. The leader appends the
+  // table again, because a gateway that starts later finds no other one.
+  void OnRecordLost(std::uint64_t version);
   // Reports that the log ended at this offset and that all records before it
   // were applied. as_of: when the read was sent.
   void OnLogEnd(std::uint64_t end, BootTime as_of);
@@ -196,6 +200,7 @@
   void PublishIfNeeded(BootTime now, std::vector<LeaseAction>& actions);
   bool Append(LeaseTable next, BootTime now, std::vector<LeaseAction>& actions);
   bool TakeOver(BootTime now, std::vector<LeaseAction>& actions);
+  bool RestoreRecord(BootTime now, std::vector<LeaseAction>& actions);
   bool AddMissingRenewers(BootTime now, std::vector<LeaseAction>& actions);
   bool ConfirmGrants(BootTime now, std::vector<LeaseAction>& actions);
   bool PlanChanges(BootTime now, std::vector<LeaseAction>& actions);
@@ -208,6 +213,7 @@
   const Guards guards_;
   LeaseTable table_;
   BootTime table_adopted_at_;
+  bool record_lost_ = false;
   std::uint64_t log_end_ = 0;
   bool log_end_known_ = false;
   BootTime confirmed_at_;
--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -253,6 +253,26 @@
   BOOST_TEST(Send(Request("/keyed/x", "id-3")).status == 200U);
 }
 
+// A gateway that started later found no table and granted the keys anew.
+BOOST_FIXTURE_TEST_CASE(leader_restores_an_overwritten_lease_table,
+                        GatewayFixture) {
+  BOOST_REQUIRE(RunUntil(
+      [this] { return Send(Request("/keyed/x", "id-1")).status == 200; }));
+  const auto readable = [this] {
+    const auto result = Await<gateway::ReadResult>(loop, [&](auto done) {
+      store_client->ReadNewest(gateway::Log::kLeases, done);
+    });
+    return result.page && result.page->records.size() == 1 &&
+           gateway::ParseLeaseTable(*result.page->records[0].value).has_value();
+  };
+  for (const std::string& odd : {std::string("\xff\xff"), std::string()}) {
+    store.Put("keyed.balsamhall-leases", "keyed", odd);
+    BOOST_TEST(!readable());
+    BOOST_TEST(RunUntil(readable, Milliseconds(2'000)));
+    BOOST_TEST(Send(Request("/keyed/x", "id-2")).status == 200U);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(odd_records_of_gateways_do_not_matter, GatewayFixture) {
   const std::string odd[] = {
       "\xff\xff",
