--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -144,17 +144,26 @@
            {"routes", std::to_string(routes_->config().routes.size())}});
 }
 
+void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
+  metrics_.Add("endpoint_entries_rejected_total", "", 1);
+  if (!rejected_records_.Add(Log::kEndpointRegistry, id)) return;
+  LogEvent(EventLevel::kWarning, "endpoint_entry_rejected",
+           static_cast<unsigned>(error.code),
+           {{"endpoint", id}, {"detail", error.detail}});
+}
+
 std::optional<EndpointInfo> Gateway::Impl::ParseEntry(
     const KeyedRecord& record) {
-  if (!record.value) return std::nullopt;
+  if (!record.value) {
+    rejected_records_.Remove(Log::kEndpointRegistry, record.key);
+    return std::nullopt;
+  }
   auto entry = parsers_.endpoint(record.key, *record.value);
-  if (entry) return std::move(entry.value());
-  // Each error of an entry is logged once.
-  if (rejected_entries_.emplace(record.key, entry.error().detail).second) {
-    LogEvent(EventLevel::kWarning, "endpoint_entry_rejected",
-             static_cast<unsigned>(entry.error().code),
-             {{"endpoint", record.key}, {"detail", entry.error().detail}});
+  if (entry) {
+    rejected_records_.Remove(Log::kEndpointRegistry, record.key);
+    return std::move(entry.value());
   }
+  OnEntryRejected(record.key, entry.error());
   return std::nullopt;
 }
 
@@ -163,6 +172,10 @@
   std::vector<EndpointRegistry::Change> changes;
   if (page.is_snapshot) {
     std::map<EndpointId, EndpointInfo> entries;
+    for (const UnreadableRecord& record : page.rejected) {
+      OnEntryRejected(record.key,
+                      {ResultCode::kLogRecordMalformed, record.detail});
+    }
     for (const KeyedRecord& record : page.records) {
       if (auto entry = ParseEntry(record)) {
         entries.insert_or_assign(record.key, std::move(*entry));
@@ -231,16 +244,27 @@
 
 void Gateway::Impl::OnLeasesPage(const LogPage& page, BootTime as_of) {
   for (const KeyedRecord& record : page.records) {
-    if (!record.value) continue;
-    auto table = ParseLeaseTable(*record.value);
+    const auto keeper = keepers_.find(record.key);
+    const auto on_lost = [&] {
+      if (keeper != keepers_.end()) {
+        keeper->second->OnRecordLost(record.offset + 1);
+      }
+    };
+    if (!record.value) {
+      on_lost();
+      continue;
+    }
+    auto table = ParseLeaseTable(*record.value, record.key, record.offset + 1);
     if (!table) {
-      LogEvent(EventLevel::kError, "lease_table_rejected",
-               static_cast<unsigned>(table.error().code),
-               {{"service", record.key}, {"detail", table.error().detail}});
+      if (rejected_records_.Add(Log::kLeases, record.key)) {
+        LogEvent(EventLevel::kError, "lease_table_rejected",
+                 static_cast<unsigned>(table.error().code),
+                 {{"service", record.key}, {"detail", table.error().detail}});
+      }
+      on_lost();
       continue;
     }
-    table.value().service = record.key;
-    table.value().version = record.offset + 1;
+    rejected_records_.Remove(Log::kLeases, record.key);
     AdoptTable(std::move(table.value()), "store");
   }
   if (page.next < page.log_end) return;
@@ -251,11 +275,16 @@
 
 void Gateway::Impl::OnGatewaysPage(const LogPage& page) {
   for (const KeyedRecord& record : page.records) {
-    const auto gateway = record.value
-                             ? ParseGatewayInstance(*record.value)
-                             : Result<GatewayInstance>(Error{
-                                   ResultCode::kLogRecordMalformed, "dropped"});
-    if (gateway) gateways_[gateway.value().id] = gateway.value();
+    if (!record.value) continue;
+    const auto gateway = ParseGatewayInstance(record.key, *record.value);
+    if (gateway) {
+      rejected_records_.Remove(Log::kGateways, record.key);
+      gateways_[gateway.value().id] = gateway.value();
+    } else if (rejected_records_.Add(Log::kGateways, record.key)) {
+      LogEvent(EventLevel::kWarning, "gateway_record_rejected",
+               static_cast<unsigned>(gateway.error().code),
+               {{"router", record.key}, {"detail", gateway.error().detail}});
+    }
   }
   forwarder_.SetGatewayCount(gateways_.size());
   // If the list arrives too late, following has already started.
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -126,6 +126,7 @@
   KeepProgressOfParts(table);
   table_ = std::move(table);
   table_adopted_at_ = now;
+  record_lost_ = false;
   // Ranges that are still in the table keep their progress.
   std::erase_if(progress_, [this](const auto& entry) {
     return std::ranges::none_of(table_.ranges, [&](const RangeLease& lease) {
@@ -166,6 +167,10 @@
   }
 }
 
+void LeaseKeeper::OnRecordLost(std::uint64_t version) {
+  if (version > table_.version) record_lost_ = true;
+}
+
 void LeaseKeeper::OnLogEnd(std::uint64_t end, BootTime as_of) {
   log_end_ = std::max(log_end_, end);
   log_end_known_ = true;
@@ -390,7 +395,12 @@
 void LeaseKeeper::OnAdopted(const GatewayInstance& gateway,
                             std::uint64_t version, Milliseconds since_renewal,
                             BootTime now) {
-  adoptions_[gateway.id] = {gateway.incarnation, version, now - since_renewal};
+  // The time comes from another program: one out of range must neither overflow
+  // nor count as an old renewal.
+  const auto since = since_renewal < Milliseconds(0)
+                         ? Milliseconds(0)
+                         : std::min(since_renewal, kMaxViewAge);
+  adoptions_[gateway.id] = {gateway.incarnation, version, now - since};
 }
 
 BootTime LeaseKeeper::PreviousLeaseEnd(const LeaseHolder& previous) const {
@@ -603,6 +613,13 @@
   return Append(std::move(next), now, actions);
 }
 
+bool LeaseKeeper::RestoreRecord(BootTime now,
+                                std::vector<LeaseAction>& actions) {
+  if (!record_lost_) return false;
+  AddEvent("lease_table_restored", "");
+  return Append(table_, now, actions);
+}
+
 // Makes gateways that joined since the last record renewers as well.
 bool LeaseKeeper::AddMissingRenewers(BootTime now,
                                      std::vector<LeaseAction>& actions) {
@@ -769,9 +786,9 @@
     actions.emplace_back(RereadLog{});
     return actions;
   }
-  if (TakeOver(now, actions) || RaiseFences(now, actions) ||
-      ConfirmGrants(now, actions) || PlanChanges(now, actions) ||
-      AddMissingRenewers(now, actions)) {
+  if (TakeOver(now, actions) || RestoreRecord(now, actions) ||
+      RaiseFences(now, actions) || ConfirmGrants(now, actions) ||
+      PlanChanges(now, actions) || AddMissingRenewers(now, actions)) {
     return actions;
   }
   return actions;
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <limits>
 #include <ranges>
 
 #include "gateway.pb.h"
@@ -14,6 +15,9 @@
 
 constexpr std::string_view kStatePrefix = "/state/";
 constexpr std::string_view kLongPollPrefix = "/follow/";
+// A day: no lease of a view this old can be running, and times stay far from
+// overflow.
+constexpr std::uint64_t kMaxLeasesAgeMs = 86'400'000;
 
 schema::EndpointRecord ToRecord(const EndpointInfo& endpoint) {
   schema::EndpointRecord record;
@@ -24,8 +28,9 @@
   record.set_data_centre(endpoint.data_centre);
   record.set_slots(endpoint.slots);
   record.set_draining(endpoint.draining);
-  record.set_cold_left_ms(
-      static_cast<std::uint32_t>(endpoint.warm_up_left.count()));
+  record.set_cold_left_ms(static_cast<std::uint32_t>(
+      std::clamp<std::int64_t>(endpoint.warm_up_left.count(), 0,
+                               std::numeric_limits<std::uint32_t>::max())));
   return record;
 }
 
@@ -128,15 +133,14 @@
     }
   }
   for (const auto& published : record.tables()) {
-    auto table = ParseLeaseTable(published.table().SerializeAsString());
+    auto table = ParseLeaseTable(published.table().SerializeAsString(),
+                                 published.service(), published.version());
     if (!table) return table.error();
-    table.value().service = published.service();
-    table.value().version = published.version();
     state.tables.push_back(std::move(table.value()));
   }
   state.leases_end = record.leases_end();
-  state.leases_age =
-      Milliseconds(static_cast<std::int64_t>(record.leases_age_ms()));
+  state.leases_age = Milliseconds(static_cast<std::int64_t>(
+      std::min(record.leases_age_ms(), kMaxLeasesAgeMs)));
   return state;
 }
 
