--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -152,6 +152,11 @@
   const BootTime later =
       start + LeaseKeeper::kMaxViewAge + 2 * LeaseKeeper::kLeaseTime;
   keeper.OnLogEnd(5, later);
+  for (const LeaseAction& action : keeper.Tick(later)) {
+    if (const auto* open = std::get_if<OpenConnection>(&action)) {
+      keeper.OnConnection(open->id, 1, later);
+    }
+  }
   bool granted = false;
   for (const LeaseAction& action : keeper.Tick(later)) {
     granted = granted || std::holds_alternative<GrantCall>(action);
--- a/Tests/UsersPlatform/odd_bytes_random_test.cc
+++ b/Tests/UsersPlatform/odd_bytes_random_test.cc
@@ -119,7 +119,7 @@
     dialect.BelongsToOtherRequest(request, response);
     dialect.ToCaller(response);
     gateway::GrantCall grant;
-    grant.handover = dialect.ReadCallResult(response).handover;
+    grant.handover = dialect.ReadCallResult({"i-1", 1}, response).handover;
     BOOST_REQUIRE_NO_THROW(dialect.ToGrant(grant));
   }
 }
--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -154,8 +154,8 @@
 BOOST_DATA_TEST_CASE(handover_that_is_not_utf8_does_not_end_the_process,
                      data::make(kOddHandovers), handover) {
   const HttpDialect dialect;
-  const auto result =
-      dialect.ReadCallResult({200, {{"X-Balsamhall-Handover", handover}}, ""});
+  const auto result = dialect.ReadCallResult(
+      {"i-1", 1}, {200, {{"X-Balsamhall-Handover", handover}}, ""});
   BOOST_TEST((result.outcome == gateway::CallOutcome::kDone));
   gateway::GrantCall grant;
   grant.handover = result.handover;
