Date a lease from the time its grant was sent, not from a response

What callers would have seen: two endpoints with the same keys. A faulty endpoint may write an earlier response once more on a kept connection. The leader took it as the response to its renewal, and assumed that the renewal had arrived by then, although it was still on its way; so it waited up to 0.4 s too short before it granted the keys elsewhere.

Change: the end of a lease is counted from the sending of the grant plus the time after which its connection is reset, with and without a response.

Evidence: a_response_does_not_date_the_arrival_of_a_grant failed before. A move away from an endpoint that does not respond may take up to 0.4 s longer.

--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -329,10 +329,9 @@
   calls_.erase(found);
   const CallOutcome outcome = result.outcome;
   const bool done = outcome == CallOutcome::kDone;
-  // A lease starts when its grant arrives, which is before the response.
-  if (done) {
-    RecordLeaseEnd(lease.owner.ref, std::min(lease_end, now + MaxLeaseTime()));
-  } else if (outcome == CallOutcome::kUnanswered) {
+  // A response does not prove that the grant has arrived: it may be an earlier
+  // one that the endpoint repeats.
+  if (done || outcome == CallOutcome::kUnanswered) {
     RecordLeaseEnd(lease.owner.ref, lease_end);
   }
   Progress& progress = ProgressOf(lease);
--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -287,6 +287,37 @@
   BOOST_TEST(connection->number == kConnection);
 }
 
+// The leader took a repeated earlier response for the one to its renewal, and
+// granted the keys elsewhere before the renewed lease had ended.
+BOOST_AUTO_TEST_CASE(a_response_does_not_date_the_arrival_of_a_grant) {
+  LeaseKeeper keeper = MakeGrantingLeader();
+  const LeaseHolder next{{"next", 1}, "next:1"};
+  const BootTime renewal = kStart + Ms(1'500);
+  std::optional<BootTime> granted;
+  for (BootTime now = kStart; now < kStart + Ms(20'000) && !granted;
+       now += Ms(20)) {
+    keeper.OnLogEnd(keeper.log_end(), now);
+    for (const LeaseAction& action : keeper.Tick(now)) {
+      if (const auto* grant = std::get_if<GrantCall>(&action)) {
+        if (grant->to == next) granted = now;
+        keeper.OnCallResult(grant->id, {CallOutcome::kDone, ""}, now);
+      } else if (const auto* release = std::get_if<ReleaseCall>(&action)) {
+        keeper.OnCallResult(release->id, {CallOutcome::kUnanswered, ""}, now);
+      } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+        keeper.OnConnection(open->id, kConnection, now);
+      } else if (std::holds_alternative<AppendTable>(action)) {
+        keeper.OnAppendResult(AppendOutcome::kDone, now);
+      } else if (std::holds_alternative<PublishTable>(action)) {
+        keeper.OnAdopted(kOther, keeper.table().version,
+                         Ms(std::chrono::minutes(4)), now);
+      }
+    }
+    if (now >= renewal) keeper.OnEndpoints({{next, 2}}, now);
+  }
+  BOOST_REQUIRE(granted.has_value());
+  BOOST_TEST((*granted >= renewal - Ms(500) + kLongestLease));
+}
+
 struct LostConnectionCase {
   const char* name;
   CallOutcome outcome;
