--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -131,15 +131,20 @@
   const auto key = FindHeader(request.headers, "X-Balsamhall-Shard-Key");
   const bool expected =
       FindHeader(request.headers, "X-Balsamhall-Expect-Instance") == id_;
-  if (!expected) {
-    return respond({421, {{"X-Balsamhall-Instance-Id", id_}}, ""});
-  }
+  const auto refuse = [&](unsigned status, const char* header,
+                          const std::string& value) {
+    respond({status,
+             {{kId, std::string(FindHeader(request.headers, kId))},
+              {header, value}},
+             ""});
+  };
+  if (!expected) return refuse(421, "X-Balsamhall-Instance-Id", id_);
   if (keyed_ && !Holds(static_cast<std::uint16_t>(
                     std::stoi(std::string(key.empty() ? "0" : key))))) {
-    return respond({421, {{"X-Balsamhall-Not-Executed", "1"}}, ""});
+    return refuse(421, "X-Balsamhall-Not-Executed", "1");
   }
   if (fault_ == EndpointFault::kShed) {
-    return respond({503, {{"X-Balsamhall-Not-Executed", "1"}}, ""});
+    return refuse(503, "X-Balsamhall-Not-Executed", "1");
   }
   ++runs_[std::string(FindHeader(request.headers, kId))];
   if (fault_ == EndpointFault::kSilent) return;
