Believe an answer on a kept connection only if it names its request

What callers saw: an endpoint wrote an earlier refusal once more, without a request id, ahead of the answer to the next request on a kept connection. The gateway took it as the answer: it sent the request, which must not run twice, to a second endpoint, and told the caller "503, not run" while an endpoint ran it. A repeated success was passed on as the answer to another caller's request.

Cause: an answer counted as another request's only if it had an id that differed. An answer that names no request was believed wherever it stood, so a missing proof counted as one.

On a connection that was used before, and behind an answer that was dropped, only an answer with the request's own id is used; any other is dropped and the next one is read, so that the real answer still reaches the caller. If none follows, the outcome is unknown (504 at the deadline, 502 if the connection ends), and only work that may run twice is retried. The first answer on a new connection can answer only the one request sent on it, and is used without an id as well. The answer to a caller's request without an id can't be told from another: such a request is sent on a new connection.

--- a/Source/gateway/backend_dialect.h
+++ b/Source/gateway/backend_dialect.h
@@ -47,9 +47,9 @@
       const HttpResponse& response) const = 0;
   // Returns the response to send to the caller.
   virtual HttpResponse ToCaller(HttpResponse response) const = 0;
-  // Returns true if the response names another request.
-  virtual bool BelongsToOtherRequest(const HttpRequest& request,
-                                     const HttpResponse& response) const = 0;
+  // Returns which request the response names. kNone if the request has no name.
+  virtual NamedRequest RequestNamedBy(const HttpRequest& request,
+                                      const HttpResponse& response) const = 0;
   // Returns an error response that the gateway generates itself.
   virtual HttpResponse MakeErrorResponse(
       unsigned status, const CallerRequest& request,
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -219,9 +219,9 @@
     options.max_body_bytes = kMaxResponseBytes;
     options.accept_unframed = true;
     options.max_idle = kMaxIdle;
-    options.skip_answer = [this](const HttpRequest& request,
-                                 const HttpResponse& response) {
-      return dialect_.BelongsToOtherRequest(request, response);
+    options.named_request = [this](const HttpRequest& request,
+                                   const HttpResponse& response) {
+      return dialect_.RequestNamedBy(request, response);
     };
     client = std::make_unique<HttpClient>(loop_, endpoint.address, options);
   }
@@ -330,6 +330,12 @@
                                                       : exchange.deadline;
 }
 
+Milliseconds Forwarder::MaxIdle(const Exchange& exchange) {
+  // On a reused connection, nothing would tell the answer from an earlier one.
+  if (exchange.caller.id.empty()) return Milliseconds(0);
+  return exchange.route->idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+}
+
 void Forwarder::Send(Exchange& exchange, const Placement& placement) {
   const auto now = Now();
   const bool far = settings_.DistanceTo(placement.endpoint.data_centre) ==
@@ -362,7 +368,7 @@
        attempt_id = exchange.attempt_id](AttemptOutcome outcome) {
         OnOutcome(id, attempt_id, std::move(outcome));
       },
-      exchange.route->idempotent ? kMaxIdle : kMaxIdleNonIdempotent);
+      MaxIdle(exchange));
   const auto limit = AttemptDeadline(exchange);
   if (limit < exchange.deadline) {
     timers_->due.emplace(limit, exchange.id, exchange.attempt_id);
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -113,6 +113,8 @@
   void OnTimer();
   Exchange* Find(std::uint64_t id);
   SteadyTime AttemptDeadline(const Exchange& exchange) const;
+  // Returns how long a connection for the attempt may have been idle.
+  static Milliseconds MaxIdle(const Exchange& exchange);
 
   boost::asio::io_context& loop_;
   const GatewaySettings& settings_;
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -121,6 +121,8 @@
   void OnWritten(error_code error, std::size_t bytes);
   void Read();
   void OnRead(error_code error);
+  // Returns true unless the response may belong to another request.
+  bool Answers(const HttpResponse& response) const;
   void Finish(Outcome outcome, bool reusable);
   void FinishFailed(HttpFailure failure, std::string detail) {
     reset_ = true;
@@ -292,8 +294,7 @@
                         buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
                         std::move(message.body())};
-  const auto& skip = client_->options_.skip_answer;
-  if (skip && !unframed && skip(request_, response)) {
+  if (!unframed && !Answers(response)) {
     skipped_answer_ = true;
     return Read();
   }
@@ -312,6 +313,20 @@
   Finish({std::move(response), {}}, reusable);
 }
 
+bool HttpClient::Impl::Connection::Answers(const HttpResponse& response) const {
+  const auto& named_request = client_->options_.named_request;
+  if (!named_request) return true;
+  switch (named_request(request_, response)) {
+    case NamedRequest::kThis:
+      return true;
+    case NamedRequest::kOther:
+      return false;
+    case NamedRequest::kNone:
+      break;
+  }
+  return !pooled_ && !skipped_answer_;
+}
+
 void HttpClient::Impl::Connection::Finish(Outcome outcome, bool reusable) {
   stage_ = Stage::kDone;
   timer_.cancel();
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -26,9 +26,13 @@
   // Returns false for an answer that does not belong to the request. It then
   // counts as kBadAnswer, and the connection is closed.
   std::function<bool(const HttpRequest&, const HttpResponse&)> accept_answer;
-  // Returns true for an answer to another request, such as a late extra one:
-  // it is dropped and the next one is read. The connection is not reused.
-  std::function<bool(const HttpRequest&, const HttpResponse&)> skip_answer;
+  // Returns which request an answer names. One that names another request, such
+  // as a late extra one, is dropped and the next one is read. So is one that
+  // names none, unless it is the first on its connection: only there can it
+  // answer no other request. The connection is not reused then. A request whose
+  // answer names none has to be sent with a max_idle of 0.
+  std::function<NamedRequest(const HttpRequest&, const HttpResponse&)>
+      named_request;
   // An answer without a length ends with its connection; taken as whole only
   // if the server closed the connection in order.
   bool accept_unframed = false;
--- a/Source/net/http_types.h
+++ b/Source/net/http_types.h
@@ -31,6 +31,9 @@
   std::string body;
 };
 
+// The request that a response says it answers, as seen from one request.
+enum class NamedRequest { kThis, kOther, kNone };
+
 }  // namespace balsamhall
 
 #endif  // BALSAMHALL_NET_HTTP_TYPES_H_
