Send a second attempt to the same endpoint on a new connection

What callers saw: an endpoint without a lease refused a request that must not run twice; the gateway renewed the lease and sent the request to it again on the same connection. The endpoint wrote its first refusal once more while it ran the second attempt, and the caller was told "503, not run".

Cause: both attempts carry the caller's request id, so on one connection the id does not tell the answer to the second attempt from that to the first.

Change: an attempt at an endpoint that the request was sent to before uses a new connection, on which no earlier answer can stand.

Evidence: second_attempt_does_not_believe_the_first_refusal failed before with 503 after one run, and passes now with 200.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -124,6 +124,7 @@
   // Attempts so far, including the one in progress.
   unsigned attempts = 0;         // without the unsent ones
   unsigned unsent_attempts = 0;  // no byte was sent
+  std::vector<EndpointRef> sent_to;
   bool may_have_run = false;
   std::string history;
 };
@@ -332,7 +333,11 @@
 
 Milliseconds Forwarder::MaxIdle(const Exchange& exchange) {
   // On a reused connection, nothing would tell the answer from an earlier one.
-  if (exchange.caller.id.empty()) return Milliseconds(0);
+  if (exchange.caller.id.empty() ||
+      std::ranges::find(exchange.sent_to, exchange.endpoint.ref) !=
+          exchange.sent_to.end()) {
+    return Milliseconds(0);
+  }
   return exchange.route->idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
 }
 
@@ -369,6 +374,7 @@
         OnOutcome(id, attempt_id, std::move(outcome));
       },
       MaxIdle(exchange));
+  exchange.sent_to.push_back(exchange.endpoint.ref);
   const auto limit = AttemptDeadline(exchange);
   if (limit < exchange.deadline) {
     timers_->due.emplace(limit, exchange.id, exchange.attempt_id);
--- a/Tests/UsersPlatform/repeated_refusal_test.cc
+++ b/Tests/UsersPlatform/repeated_refusal_test.cc
@@ -216,5 +216,37 @@
   if (refusal.on_kept) BOOST_TEST(kept[path + "run"] >= 1);
 }
 
+// An endpoint that refused a request was sent it again after its lease had been
+// renewed, on the same connection, where the repeated refusal names it too.
+BOOST_FIXTURE_TEST_CASE(second_attempt_does_not_believe_the_first_refusal,
+                        GatewayFixture) {
+  int attempts = 0;
+  int runs = 0;
+  const RawEndpoint endpoint(
+      loop, "i-raw", [&](const RawRequest& request) -> std::vector<RawPart> {
+        std::string answer = ResponseBytes(Success(request, request.id));
+        if (request.target != "/raw/write/run") return {{answer}};
+        const std::string refusal = ResponseBytes(Refusal(421, request.id));
+        if (++attempts == 1) return {{refusal}};
+        ++runs;
+        if (request.number == 1) return {{answer}};
+        return {{refusal}, {answer, kWorkTime}};
+      });
+  store.Put("keyed.servers", endpoint.id(), endpoint.Entry("raw"));
+  json config = Config("0000000a");
+  config["services"]["raw"] = config["services"]["keyed"];
+  config["routes"]["raw"] = Route("/raw/write/", "unsafe", "raw", "1500ms");
+  store.Put("keyed.op", "config", config.dump());
+  HttpRequest request = Request("/raw/write/first", "a1");
+  request.headers[2].second = "1500";
+  BOOST_REQUIRE(RunUntil([&] { return Send(request).status == 200; }));
+  request = Request("/raw/write/run", "a-run");
+  request.headers[2].second = "1500";
+  const HttpResponse response = Send(request);
+  BOOST_TEST(attempts == 2);
+  BOOST_TEST(runs == 1);
+  BOOST_TEST(response.status == 200U);
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
