Close an idle connection when a request needs a new one

What callers saw: nothing so far. With the limit of connections to an endpoint filled by idle ones, a request that may not use them because they were idle too long for it, or because it needs a new connection, failed as "not sent", and the gateway tried it elsewhere or refused it.

Cause: the limit counted idle connections like those in use.

Change: a new connection at the limit first closes the idle connection that was used least recently. Connections in use are left alone.

Evidence: IdleConnectionsMakeRoomForANewOne failed before (two of three requests answered) and passes now.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -414,6 +414,11 @@
     return Fail(HttpFailure::kNotSent, "not an ip:port: " + address_,
                 std::move(done));
   }
+  if (connections_.size() >= options_.max_connections && !idle_.empty()) {
+    const auto least_recent = idle_.front();
+    idle_.erase(idle_.begin());
+    least_recent->Close();
+  }
   if (connections_.size() >= options_.max_connections) {
     return Fail(HttpFailure::kNotSent, "all connections in use",
                 std::move(done));
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -76,7 +76,7 @@
   // the client is destroyed first. A pooled connection that the server had
   // closed before the first byte was written is replaced by a new one; nothing
   // else is repeated. With max_connections in use the request fails with
-  // kNotSent.
+  // kNotSent; an idle connection is closed to make room.
   // Only connections that were idle for less than max_idle are reused. Returns
   // a number for Cancel.
   std::uint64_t Send(HttpRequest request, Milliseconds timeout, Callback done,
