Reject an answer without a length that does not name its request

What callers saw: an earlier answer that came once more without a length, and ended with its connection, was taken as the answer to the next request, even with the id of the earlier one. A refusal of that form made a request that must not run twice run at a second endpoint; a success was passed on to the wrong caller.

Cause: an answer to another request is dropped to read the next one. Nothing follows an answer that ends with its connection, so the check left such answers out, and they were used.

Change: such an answer fails the exchange: the outcome is unknown (502), and only work that may run twice is retried.

Evidence: all four cases of repeated_answers_without_a_length_are_not_believed failed before (two with a second run at the other endpoint) and pass now.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -294,12 +294,13 @@
                         buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
                         std::move(message.body())};
-  if (!unframed && !Answers(response)) {
+  const bool answers = Answers(response);
+  if (!answers && !unframed) {
     skipped_answer_ = true;
     return Read();
   }
   const auto& accept = client_->options_.accept_answer;
-  if (accept && !accept(request_, response)) {
+  if (!answers || (accept && !accept(request_, response))) {
     return FinishFailed(HttpFailure::kBadAnswer,
                         "answer does not belong to the request");
   }
--- a/Tests/UsersPlatform/repeated_refusal_test.cc
+++ b/Tests/UsersPlatform/repeated_refusal_test.cc
@@ -175,6 +175,46 @@
   }
 }
 
+struct UnframedCase {
+  const char* name;
+  unsigned status;
+  const char* repeat_id;  // empty: none
+};
+
+std::ostream& operator<<(std::ostream& out, const UnframedCase& c) {
+  return out << c.name;
+}
+
+const UnframedCase kUnframed[] = {
+    {"a refusal with its id", 503, "a1"},
+    {"a refusal without an id", 503, ""},
+    {"a success with its id", 200, "a1"},
+    {"a success without an id", 200, ""},
+};
+
+// An answer that ends with its connection was believed whatever it named.
+BOOST_DATA_TEST_CASE_F(RefusalFixture,
+                       repeated_answers_without_a_length_are_not_believed,
+                       data::make(kUnframed), repeat) {
+  const std::string run = "/raw/unsafe/write/run";
+  Start([&](const RawRequest& request) -> std::vector<RawPart> {
+    if (request.target != run || request.number == 1) {
+      return {{ResponseBytes(Success(request, request.id))}};
+    }
+    std::string head = repeat.status == 200
+                           ? "HTTP/1.1 200 OK\r\nX-Balsamhall-Server-Stamp: s"
+                           : "HTTP/1.1 503 Service Unavailable\r\n"
+                             "X-Balsamhall-Not-Executed: 1";
+    const std::string id = repeat.repeat_id;
+    if (!id.empty()) head += "\r\n" + std::string(kId) + ": " + id;
+    return {{head + "\r\n\r\nearlier", Milliseconds(0), true}};
+  });
+  SendFirst("/raw/unsafe/write/first", "a");
+  BOOST_TEST(SendTo(run, "a-run").status == 502U);
+  BOOST_TEST(requests[run] == 1);
+  BOOST_TEST(kept[run] == 1);
+}
+
 struct RefusalCase {
   const char* name;
   bool on_kept;
