Test a second extra answer behind one for another request

On a new connection, an answer without an id that follows one for another request may be an extra one as well. The case fails (503, and a run at a second endpoint) if only the age of the connection decides, and passes now.

--- a/Tests/UsersPlatform/repeated_refusal_test.cc
+++ b/Tests/UsersPlatform/repeated_refusal_test.cc
@@ -175,6 +175,23 @@
   }
 }
 
+// Behind an answer that another request is named in, one without an id may be
+// an extra one even on a new connection.
+BOOST_FIXTURE_TEST_CASE(second_extra_answer_is_not_believed_without_an_id,
+                        RefusalFixture) {
+  const std::string run = "/raw/unsafe/write/run";
+  Start([&](const RawRequest& request) -> std::vector<RawPart> {
+    std::string answer = ResponseBytes(Success(request, request.id));
+    if (request.target != run) return {{answer, Milliseconds(0), true}};
+    return {{ResponseBytes(Refusal(503, "other")) +
+             ResponseBytes(Refusal(503, ""))},
+            {answer, kWorkTime}};
+  });
+  BOOST_TEST(SendTo(run, "a-run").status == 200U);
+  BOOST_TEST(requests[run] == 1);
+  BOOST_TEST(kept[run] == 0);
+}
+
 struct UnframedCase {
   const char* name;
   unsigned status;
