Read on behind an interim response

What callers saw: an endpoint that wrote an interim response (100, 103) ahead of its answer had it passed on as the answer, while the request ran. Status 101, which no request asks for, was passed on as well.

Cause: the client took the first message of any status as the answer. An interim response is no answer, and the final one follows it.

Change: statuses 1xx are read over. 101 and anything below 100 fail the exchange: the outcome is unknown.

Evidence: three of the four cases of interim_responses_are_not_answers failed before (the caller got 100, 103 and 101) and pass now.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -39,6 +39,11 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
+// Interim responses come ahead of the final one.
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+
 // Returns the "timeout" parameter of a Keep-Alive header.
 std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view value) {
   const auto start = value.find(kTimeoutParameter);
@@ -289,10 +294,18 @@
     return FinishFailed(HttpFailure::kBadAnswer, "answer without a length");
   }
   auto& message = parser_->get();
+  const unsigned status = message.result_int();
+  if (status < kFirstFinalStatus) {
+    if (status >= kFirstInterimStatus && status != kSwitchingProtocols) {
+      return Read();
+    }
+    return FinishFailed(HttpFailure::kBadAnswer,
+                        "status " + std::to_string(status));
+  }
   const bool reusable = message.keep_alive() && !unframed && written_ &&
                         !write_failed_ && !skipped_answer_ &&
                         buffer_.size() == 0;
-  HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
+  HttpResponse response{status, http_wire::CopyHeaders(message),
                         std::move(message.body())};
   const bool answers = Answers(response);
   if (!answers && !unframed) {
--- a/Tests/UsersPlatform/repeated_refusal_test.cc
+++ b/Tests/UsersPlatform/repeated_refusal_test.cc
@@ -232,6 +232,41 @@
   BOOST_TEST(kept[run] == 1);
 }
 
+struct InterimCase {
+  const char* name;
+  bool on_kept;
+  const char* head;
+  unsigned status;
+};
+
+std::ostream& operator<<(std::ostream& out, const InterimCase& c) {
+  return out << c.name;
+}
+
+const InterimCase kInterim[] = {
+    {"100 on a new connection", false, "HTTP/1.1 100 Continue", 200},
+    {"103 on a new connection", false, "HTTP/1.1 103 Early Hints", 200},
+    {"100 on a kept connection", true, "HTTP/1.1 100 Continue", 200},
+    {"a change of protocol", false, "HTTP/1.1 101 Switching Protocols", 502},
+};
+
+// A response ahead of the final one was passed on as the answer.
+BOOST_DATA_TEST_CASE_F(RefusalFixture, interim_responses_are_not_answers,
+                       data::make(kInterim), interim) {
+  const std::string run = "/raw/unsafe/write/run";
+  Start([&](const RawRequest& request) -> std::vector<RawPart> {
+    std::string answer = ResponseBytes(Success(request, request.id));
+    if (request.target != run) {
+      return {{answer, Milliseconds(0), !interim.on_kept}};
+    }
+    return {{std::string(interim.head) + "\r\n\r\n"}, {answer, kWorkTime}};
+  });
+  SendFirst("/raw/unsafe/write/first", "a");
+  BOOST_TEST(SendTo(run, "a-run").status == interim.status);
+  BOOST_TEST(requests[run] == 1);
+  BOOST_TEST(kept[run] == (interim.on_kept ? 1 : 0));
+}
+
 struct RefusalCase {
   const char* name;
   bool on_kept;
