Bound the messages that are read over ahead of an answer

What callers saw: an endpoint that wrote one complete message after another, none of them the answer, was read until the request's deadline. Nothing but the deadline ended that.

Cause: each extra or interim message led to another read, without a bound.

Change: after 16 such messages the exchange fails; the outcome is unknown (502) and the connection is reset.

Evidence: both cases of endless_extra_answers_end_the_exchange failed before (504 at the time-out of 1.5 s) and pass now.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -43,6 +43,9 @@
 constexpr unsigned kFirstInterimStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+// Interim and extra messages ahead of an answer; a server that writes more
+// writes without end.
+constexpr unsigned kMaxMessagesReadOver = 16;
 
 // Returns the "timeout" parameter of a Keep-Alive header.
 std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view value) {
@@ -125,6 +128,8 @@
   void Write();
   void OnWritten(error_code error, std::size_t bytes);
   void Read();
+  // Reads the message behind one that does not end the exchange.
+  void ReadNext();
   void OnRead(error_code error);
   // Returns true unless the response may belong to another request.
   bool Answers(const HttpResponse& response) const;
@@ -152,6 +157,7 @@
   bool written_ = false;
   bool write_failed_ = false;
   bool skipped_answer_ = false;
+  unsigned messages_read_over_ = 0;
   bool reset_ = false;
 };
 
@@ -165,6 +171,7 @@
   written_ = false;
   write_failed_ = false;
   skipped_answer_ = false;
+  messages_read_over_ = 0;
   exchange_ = id;
 }
 
@@ -279,6 +286,13 @@
       });
 }
 
+void HttpClient::Impl::Connection::ReadNext() {
+  if (++messages_read_over_ > kMaxMessagesReadOver) {
+    return FinishFailed(HttpFailure::kBadAnswer, "too many extra answers");
+  }
+  Read();
+}
+
 void HttpClient::Impl::Connection::OnRead(error_code error) {
   if (error) {
     const bool closed =
@@ -297,7 +311,7 @@
   const unsigned status = message.result_int();
   if (status < kFirstFinalStatus) {
     if (status >= kFirstInterimStatus && status != kSwitchingProtocols) {
-      return Read();
+      return ReadNext();
     }
     return FinishFailed(HttpFailure::kBadAnswer,
                         "status " + std::to_string(status));
@@ -310,7 +324,7 @@
   const bool answers = Answers(response);
   if (!answers && !unframed) {
     skipped_answer_ = true;
-    return Read();
+    return ReadNext();
   }
   const auto& accept = client_->options_.accept_answer;
   if (!answers || (accept && !accept(request_, response))) {
--- a/Tests/UsersPlatform/repeated_refusal_test.cc
+++ b/Tests/UsersPlatform/repeated_refusal_test.cc
@@ -267,6 +267,44 @@
   BOOST_TEST(kept[run] == (interim.on_kept ? 1 : 0));
 }
 
+struct EndlessCase {
+  const char* name;
+  const char* head;  // of a response without a body
+};
+
+std::ostream& operator<<(std::ostream& out, const EndlessCase& c) {
+  return out << c.name;
+}
+
+const EndlessCase kEndless[] = {
+    {"refusals of another request",
+     "HTTP/1.1 503 Service Unavailable\r\nX-Balsamhall-Request-Id: other\r\n"
+     "Content-Length: 0"},
+    {"interim responses", "HTTP/1.1 100 Continue"},
+};
+
+// A connection with answer after answer to no request was read until the
+// deadline.
+BOOST_DATA_TEST_CASE_F(RefusalFixture, endless_extra_answers_end_the_exchange,
+                       data::make(kEndless), endless) {
+  const std::string run = "/raw/unsafe/write/run";
+  Start([&](const RawRequest& request) -> std::vector<RawPart> {
+    if (request.target != run) {
+      return {{ResponseBytes(Success(request, request.id))}};
+    }
+    std::string bytes;
+    for (int i = 0; i < 1'000; ++i) {
+      bytes += std::string(endless.head) + "\r\n\r\n";
+    }
+    return {{bytes}, {bytes, Milliseconds(2'000)}};
+  });
+  const auto start = std::chrono::steady_clock::now();
+  BOOST_TEST(SendTo(run, "a-run").status == 502U);
+  BOOST_TEST(requests[run] == 1);
+  const auto took = std::chrono::steady_clock::now() - start;
+  BOOST_TEST((took < Milliseconds(1'000)));  // the time-out is 1,500 ms
+}
+
 struct RefusalCase {
   const char* name;
   bool on_kept;
