--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -126,6 +126,7 @@
   // Attempts so far, including the one in progress.
   unsigned attempts = 0;         // without the unsent ones
   unsigned unsent_attempts = 0;  // no byte was sent
+  std::vector<EndpointRef> sent_to;
   bool may_have_run = false;
   std::string history;
 };
@@ -221,9 +222,9 @@
     options.max_body_bytes = kMaxResponseBytes;
     options.accept_unframed = true;
     options.max_idle = kMaxIdle;
-    options.skip_answer = [this](const HttpRequest& request,
-                                 const HttpResponse& response) {
-      return dialect_.BelongsToOtherRequest(request, response);
+    options.named_request = [this](const HttpRequest& request,
+                                   const HttpResponse& response) {
+      return dialect_.RequestNamedBy(request, response);
     };
     client = std::make_unique<HttpClient>(loop_, endpoint.address, options);
   }
@@ -332,6 +333,16 @@
                                                       : exchange.deadline;
 }
 
+Milliseconds Forwarder::MaxIdle(const Exchange& exchange) {
+  // On a reused connection, nothing would tell the answer from an earlier one.
+  if (exchange.caller.id.empty() ||
+      std::ranges::find(exchange.sent_to, exchange.endpoint.ref) !=
+          exchange.sent_to.end()) {
+    return Milliseconds(0);
+  }
+  return exchange.route->idempotent ? kMaxIdle : kMaxIdleNonIdempotent;
+}
+
 void Forwarder::Send(Exchange& exchange, const Placement& placement) {
   const auto now = Now();
   const bool far = settings_.DistanceTo(placement.endpoint.data_centre) ==
@@ -364,7 +375,8 @@
        attempt_id = exchange.attempt_id](AttemptOutcome outcome) {
         OnOutcome(id, attempt_id, std::move(outcome));
       },
-      exchange.route->idempotent ? kMaxIdle : kMaxIdleNonIdempotent);
+      MaxIdle(exchange));
+  exchange.sent_to.push_back(exchange.endpoint.ref);
   const auto limit = AttemptDeadline(exchange);
   if (limit < exchange.deadline) {
     timers_->due.emplace(limit, exchange.id, exchange.attempt_id);
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -39,6 +39,14 @@
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
+// Interim responses come ahead of the final one.
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kSwitchingProtocols = 101;
+constexpr unsigned kFirstFinalStatus = 200;
+// Interim and extra messages ahead of an answer; a server that writes more
+// writes without end.
+constexpr unsigned kMaxMessagesReadOver = 16;
+
 // Returns the "timeout" parameter of a Keep-Alive header.
 std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view value) {
   const auto start = value.find(kTimeoutParameter);
@@ -133,7 +141,11 @@
   void Write();
   void OnWritten(error_code error, std::size_t bytes);
   void Read();
+  // Reads the message behind one that does not end the exchange.
+  void ReadNext();
   void OnRead(error_code error);
+  // Returns true unless the response may belong to another request.
+  bool Answers(const HttpResponse& response) const;
   void Finish(Outcome outcome, bool reusable);
   void FinishFailed(HttpFailure failure, std::string detail) {
     reset_ = true;
@@ -155,10 +167,12 @@
   std::uint64_t exchange_ = 0;
   Stage stage_ = Stage::kDone;
   bool open_only_ = false;  // connects without a request
+  bool pooled_ = false;
   bool replaceable_ = false;
   bool written_ = false;
   bool write_failed_ = false;
   bool skipped_answer_ = false;
+  unsigned messages_read_over_ = 0;
   bool reset_ = false;
 };
 
@@ -172,6 +186,7 @@
   written_ = false;
   write_failed_ = false;
   skipped_answer_ = false;
+  messages_read_over_ = 0;
   exchange_ = id;
 }
 
@@ -226,6 +241,7 @@
                                             Clock::time_point deadline,
                                             Callback done, bool replaceable) {
   Begin(id, std::move(request), deadline, std::move(done));
+  pooled_ = true;
   replaceable_ = replaceable;
   SetTimer(deadline);
   Write();
@@ -291,6 +307,13 @@
       });
 }
 
+void HttpClient::Impl::Connection::ReadNext() {
+  if (++messages_read_over_ > kMaxMessagesReadOver) {
+    return FinishFailed(HttpFailure::kBadAnswer, "too many extra answers");
+  }
+  Read();
+}
+
 void HttpClient::Impl::Connection::OnRead(error_code error) {
   if (error) {
     const bool closed =
@@ -306,18 +329,26 @@
     return FinishFailed(HttpFailure::kBadAnswer, "answer without a length");
   }
   auto& message = parser_->get();
+  const unsigned status = message.result_int();
+  if (status < kFirstFinalStatus) {
+    if (status >= kFirstInterimStatus && status != kSwitchingProtocols) {
+      return ReadNext();
+    }
+    return FinishFailed(HttpFailure::kBadAnswer,
+                        "status " + std::to_string(status));
+  }
   const bool reusable = message.keep_alive() && !unframed && written_ &&
                         !write_failed_ && !skipped_answer_ &&
                         buffer_.size() == 0;
-  HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
+  HttpResponse response{status, http_wire::CopyHeaders(message),
                         std::move(message.body())};
-  const auto& skip = client_->options_.skip_answer;
-  if (skip && !unframed && skip(request_, response)) {
+  const bool answers = Answers(response);
+  if (!answers && !unframed) {
     skipped_answer_ = true;
-    return Read();
+    return ReadNext();
   }
   const auto& accept = client_->options_.accept_answer;
-  if (accept && !accept(request_, response)) {
+  if (!answers || (accept && !accept(request_, response))) {
     return FinishFailed(HttpFailure::kBadAnswer,
                         "answer does not belong to the request");
   }
@@ -331,6 +362,20 @@
   Finish({std::move(response), {}, number_}, reusable);
 }
 
+bool HttpClient::Impl::Connection::Answers(const HttpResponse& response) const {
+  const auto& named_request = client_->options_.named_request;
+  if (!named_request) return true;
+  switch (named_request(request_, response)) {
+    case NamedRequest::kThis:
+      return true;
+    case NamedRequest::kOther:
+      return false;
+    case NamedRequest::kNone:
+      break;
+  }
+  return (!pooled_ || !replaceable_) && !skipped_answer_;
+}
+
 void HttpClient::Impl::Connection::Finish(Outcome outcome, bool reusable) {
   stage_ = Stage::kDone;
   timer_.cancel();
@@ -444,6 +489,11 @@
     Fail(HttpFailure::kNotSent, "not an ip:port: " + address_, std::move(done));
     return nullptr;
   }
+  if (connections_.size() >= options_.max_connections && !idle_.empty()) {
+    const auto least_recent = idle_.front();
+    idle_.erase(idle_.begin());
+    least_recent->Close();
+  }
   if (connections_.size() >= options_.max_connections) {
     Fail(HttpFailure::kNotSent, "all connections in use", std::move(done));
     return nullptr;
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -27,9 +27,13 @@
   // Returns false for an answer that does not belong to the request. It then
   // counts as kBadAnswer, and the connection is closed.
   std::function<bool(const HttpRequest&, const HttpResponse&)> accept_answer;
-  // Returns true for an answer to another request, such as a late extra one:
-  // it is dropped and the next one is read. The connection is not reused.
-  std::function<bool(const HttpRequest&, const HttpResponse&)> skip_answer;
+  // Returns which request an answer names. One that names another request, such
+  // as a late extra one, is dropped and the next one is read. So is one that
+  // names none, unless it is the first on its connection: only there can it
+  // answer no other request. The connection is not reused then. A request whose
+  // answer names none has to be sent with a max_idle of 0.
+  std::function<NamedRequest(const HttpRequest&, const HttpResponse&)>
+      named_request;
   // An answer without a length ends with its connection; taken as whole only
   // if the server closed the connection in order.
   bool accept_unframed = false;
@@ -79,7 +83,7 @@
   // the client is destroyed first. A pooled connection that the server had
   // closed before the first byte was written is replaced by a new one; nothing
   // else is repeated. With max_connections in use the request fails with
-  // kNotSent.
+  // kNotSent; an idle connection is closed to make room.
   // Only connections that were idle for less than max_idle are reused. Returns
   // a number for Cancel.
   std::uint64_t Send(HttpRequest request, Milliseconds timeout, Callback done,
@@ -94,7 +98,8 @@
                           Callback done);
 
   // Like Send, but only on this connection, however long it was idle. Fails
-  // with kNotSent if it is in use or closed.
+  // with kNotSent if it is in use or closed. An answer that names no request is
+  // taken as the one to this request.
   std::uint64_t SendOn(std::uint64_t connection, HttpRequest request,
                        Milliseconds timeout, Callback done);
 
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -131,12 +131,19 @@
 
 void UsersEndpoint::OnRequest(const HttpRequest& request,
                               const HttpServer::Respond& respond) {
+  const auto refuse = [&](unsigned status, const char* header,
+                          const std::string& value) {
+    respond({status,
+             {{kId, std::string(FindHeader(request.headers, kId))},
+              {header, value}},
+             ""});
+  };
   const auto expected =
       FindHeader(request.headers, "X-Balsamhall-Expect-Instance");
   const bool lease_call =
       request.target == "/grant" || request.target == "/release";
   if (expected != id_ && !(lease_call && expected.empty())) {
-    return respond({421, {{"X-Balsamhall-Instance-Id", id_}}, ""});
+    return refuse(421, "X-Balsamhall-Instance-Id", id_);
   }
   if (request.target == "/grant") return respond(OnGrant(request.body));
   if (request.target == "/release") return respond(OnRelease(request.body));
@@ -144,10 +151,10 @@
   const auto key = FindHeader(request.headers, "X-Balsamhall-Shard-Key");
   if (keyed_ && !Holds(static_cast<std::uint16_t>(
                     std::stoi(std::string(key.empty() ? "0" : key))))) {
-    return respond({421, {{"X-Balsamhall-Not-Executed", "1"}}, ""});
+    return refuse(421, "X-Balsamhall-Not-Executed", "1");
   }
   if (fault_ == EndpointFault::kShed) {
-    return respond({503, {{"X-Balsamhall-Not-Executed", "1"}}, ""});
+    return refuse(503, "X-Balsamhall-Not-Executed", "1");
   }
   ++runs_[std::string(FindHeader(request.headers, kId))];
   if (fault_ == EndpointFault::kSilent) return;
--- a/Tests/UsersPlatform/odd_bytes_random_test.cc
+++ b/Tests/UsersPlatform/odd_bytes_random_test.cc
@@ -116,7 +116,7 @@
       BOOST_TEST(read.load->waiting <= 100'000U);
       BOOST_TEST(read.load->slots <= 100'000U);
     }
-    dialect.BelongsToOtherRequest(request, response);
+    dialect.RequestNamedBy(request, response);
     dialect.ToCaller(response);
     gateway::GrantCall grant;
     grant.handover = dialect.ReadCallResult({"i-1", 1}, response).handover;
