Limit what a reader keeps of a chunk's head and of trailers

Safe requests reached the route's time-out although another endpoint could have answered. A caller could do the same with a chunked request.

Cause: the parser limits the head and the body, but not the head of a chunk and the trailers; these stay in the read buffer until they are whole, and the buffer had no limit. The class of fault: a limit on each known part of a message, and none on what is read. Client and server had the same cause.

Change: the read buffers are limited to 64 KB (the server's to that beside its header limit). The connection is then reset, and the answer counts as bad.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -131,7 +131,7 @@
   const std::uint64_t number_;
   Socket socket_;
   Timer timer_;
-  boost::beast::flat_buffer buffer_;
+  boost::beast::flat_buffer buffer_{http_wire::kMaxUnparsedBytes};
   std::optional<http::response_parser<http::string_body>> parser_;
   HttpRequest request_;
   std::string head_;
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -205,6 +205,8 @@
 }
 
 void HttpServer::Impl::Session::StartReadHead() {
+  buffer_.max_size(std::max(buffer_.size(), server_->options_.max_header_bytes +
+                                                http_wire::kMaxUnparsedBytes));
   parser_.emplace();
   parser_->header_limit(
       static_cast<std::uint32_t>(server_->options_.max_header_bytes));
--- a/Source/net/http_wire.h
+++ b/Source/net/http_wire.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/http/fields.hpp>
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -26,6 +27,10 @@
 std::string RequestHead(const HttpRequest& request, const std::string& host);
 std::string ResponseHead(const HttpResponse& response, bool keep_alive);
 
+// Bytes that a reader may keep until the head of a chunk or the trailers are
+// whole, beside its header limit: the parser has no limit for these.
+constexpr std::size_t kMaxUnparsedBytes = 64U << 10U;
+
 HttpHeaders CopyHeaders(const boost::beast::http::fields& fields);
 
 }  // namespace balsamhall::http_wire
--- /dev/null
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -0,0 +1,189 @@
+// Endpoints that answer with bytes without end, seen by callers.
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "StandIn/endless_server.h"
+#include "gateway_fixture.h"
+
+namespace balsamhall::platform {
+namespace {
+
+namespace data = boost::unit_test::data;
+using stand_in::EndlessAnswer;
+using stand_in::EndlessServer;
+using SteadyClock = std::chrono::steady_clock;
+
+// Of the routes in gateway_fixture.h, and how late an answer may come after it.
+constexpr Milliseconds kRouteTimeout{400};
+constexpr Milliseconds kMaxLateness{500};
+// A caller that has left may occupy its endpoint for that long.
+constexpr Milliseconds kMaxWorkAfterLeaving{500};
+constexpr int kRequests = 60;
+constexpr int kConcurrent = 12;
+// Retries that the budget allows a gateway that doesn't know yet how many
+// gateways share it.
+constexpr int kFirstRetries = 2;
+
+struct BytesCase {
+  const char* name;
+  EndlessAnswer answer;
+};
+std::ostream& operator<<(std::ostream& out, const BytesCase& input) {
+  return out << input.name;
+}
+
+const std::string kOk = "HTTP/1.1 200 OK\r\n";
+const std::string kOther =
+    kOk +
+    "X-Balsamhall-Request-Id: other\r\n"
+    "X-Balsamhall-Server-Stamp: s\r\nContent-Length: 1\r\n\r\nx";
+constexpr Milliseconds kSlow{20};
+
+const std::vector<BytesCase> kCases = {
+    {"status_line", {"HTTP/1.1 200 O", "xxxxxxx", {}}},
+    {"slow_headers", {kOk, "A: b\r\n", kSlow}},
+    {"slow_body",
+     {kOk + "X-Balsamhall-Server-Stamp: s\r\n\r\n", "xxxxxxx", kSlow}},
+    {"chunk_extension",
+     {kOk + "Transfer-Encoding: chunked\r\n\r\n1;", "xxxxxxx", {}}},
+    {"slow_other_answers", {"", kOther, kSlow}},
+};
+
+using Entries = std::map<std::string, std::string>;
+
+struct Answered {
+  unsigned status = 0;  // 0: none
+  Milliseconds took{};
+};
+
+// An endpoint of a service, before the gateway that is to use it.
+struct EndlessEndpoint {
+  explicit EndlessEndpoint(EndlessAnswer answer) : server(std::move(answer)) {}
+
+  std::string Entry(const std::string& service) {
+    boost::asio::io_context loop;
+    UsersEndpoint endpoint(loop, "i-9", false);
+    endpoint.set_public_address(server.address());
+    return endpoint.Entry(service, "ready");
+  }
+
+  EndlessServer server;
+};
+
+struct EndlessFixture : EndlessEndpoint, GatewayFixture {
+  // Beside the other endpoints of the service, or in their place.
+  explicit EndlessFixture(EndlessAnswer answer, bool alone = false)
+      : EndlessEndpoint(std::move(answer)),
+        GatewayFixture(
+            alone ? Entries{{"i-1", ""}, {"i-2", ""}, {"i-9", Entry("plain")}}
+                  : Entries{{"i-9", Entry("plain")}}) {}
+
+  // Sends a few at a time, and waits for all of them.
+  std::vector<Answered> SendMany(const std::string& target) {
+    std::vector<Answered> answers(kRequests);
+    int started = 0;
+    int ended = 0;
+    const bool all = RunUntil(
+        [&] {
+          for (; started < std::min(ended + kConcurrent, kRequests);
+               ++started) {
+            const auto start = SteadyClock::now();
+            front->Send(Request(target, "r" + std::to_string(started)),
+                        Milliseconds(3'000),
+                        [&, start,
+                         number = started](const HttpClient::Outcome& outcome) {
+                          ++ended;
+                          answers.at(number) = {
+                              outcome.response ? outcome.response->status : 0U,
+                              std::chrono::duration_cast<Milliseconds>(
+                                  SteadyClock::now() - start)};
+                        });
+          }
+          return ended == kRequests;
+        },
+        Milliseconds(20'000));
+    BOOST_REQUIRE(all);
+    return answers;
+  }
+};
+
+// Guards against requests that run twice, or callers that wait beyond the
+// route's time-out, because of an answer without end.
+BOOST_DATA_TEST_CASE(unsafe_requests_survive_answers_without_end,
+                     data::make(kCases), input) {
+  EndlessFixture fixture(input.answer);
+  const auto answers = fixture.SendMany("/write/1");
+  int failed = 0;
+  for (int number = 0; number < kRequests; ++number) {
+    const Answered& answer = answers.at(number);
+    const int runs = fixture.Runs("r" + std::to_string(number));
+    BOOST_CHECK_LT(answer.took.count(), (kRouteTimeout + kMaxLateness).count());
+    if (answer.status == 200) {
+      BOOST_CHECK_EQUAL(runs, 1);
+      continue;
+    }
+    ++failed;
+    BOOST_CHECK_MESSAGE(answer.status == 502 || answer.status == 504,
+                        answer.status);
+    BOOST_CHECK_EQUAL(runs, 0);
+  }
+  // Only requests that were sent to the faulty endpoint fail, each once, and
+  // its failures make it get fewer than its share.
+  BOOST_CHECK_GT(fixture.server.asked(), 0);
+  BOOST_CHECK_EQUAL(failed, fixture.server.asked());
+  BOOST_CHECK_LT(failed, kRequests / 3);
+  BOOST_CHECK(fixture.RunUntil(
+      [&] { return fixture.server.closed() == fixture.server.asked(); },
+      kRouteTimeout + kMaxLateness));
+}
+
+// Guards against safe requests that fail although another endpoint could
+// answer.
+BOOST_DATA_TEST_CASE(safe_requests_survive_answers_without_end,
+                     data::make(kCases), input) {
+  EndlessFixture fixture(input.answer);
+  const auto answers = fixture.SendMany("/read/1");
+  int failed = 0;
+  for (const Answered& answer : answers) {
+    BOOST_CHECK_LT(answer.took.count(), (kRouteTimeout + kMaxLateness).count());
+    if (answer.status == 200) continue;
+    ++failed;
+    BOOST_CHECK_MESSAGE(answer.status == 502 || answer.status == 504,
+                        answer.status);
+  }
+  BOOST_CHECK_GT(fixture.server.asked(), 0);
+  BOOST_CHECK_LT(fixture.server.asked(), kRequests / 2);
+  if (input.answer.interval.count() == 0) {
+    BOOST_CHECK_LE(failed, std::max(0, fixture.server.asked() - kFirstRetries));
+  } else {
+    // The first ones reach the route's time-out; nothing shows before that a
+    // slow answer has no end.
+    BOOST_CHECK_LE(failed, fixture.server.asked());
+  }
+  BOOST_CHECK(fixture.RunUntil(
+      [&] { return fixture.server.closed() == fixture.server.asked(); },
+      kRouteTimeout + kMaxLateness));
+}
+
+// Guards against an endpoint that sends on after the caller of a safe request
+// has left, or after the deadline of an unsafe one.
+BOOST_DATA_TEST_CASE(bytes_without_end_stop_when_the_caller_leaves,
+                     data::make({"/slow/read/1", "/write/1"}), target) {
+  EndlessFixture fixture({kOk, "A: b\r\n", kSlow}, true);
+  const auto exchange =
+      fixture.front->Send(fixture.Request(target, "r"), Milliseconds(3'000),
+                          [](const HttpClient::Outcome&) {});
+  BOOST_REQUIRE(fixture.RunUntil([&] { return fixture.server.asked() == 1; }));
+  fixture.front->Cancel(exchange);
+  BOOST_CHECK(fixture.RunUntil([&] { return fixture.server.reset() == 1; },
+                               kRouteTimeout + kMaxWorkAfterLeaving));
+  BOOST_CHECK_EQUAL(fixture.server.asked(), 1);
+}
+
+}  // namespace
+}  // namespace balsamhall::platform
--- a/Tests/UsersPlatform/gateway_fixture.h
+++ b/Tests/UsersPlatform/gateway_fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -95,7 +96,9 @@
 }
 
 struct GatewayFixture {
-  GatewayFixture() {
+  // more_entries: further ones of the registry, by endpoint id.
+  explicit GatewayFixture(
+      const std::map<std::string, std::string>& more_entries = {}) {
     store_address = store.Listen();
     const auto settings = Settings(addresses, "gateway-1", store_address);
     store.Put("keyed.op", "config", Config("00000001").dump());
@@ -106,6 +109,9 @@
     }
     keyed.Listen();
     store.Put("keyed.servers", keyed.id(), keyed.Entry("keyed", "ready"));
+    for (const auto& [id, entry] : more_entries) {
+      store.Put("keyed.servers", id, entry);
+    }
     store_client = std::make_unique<StoreClient>(loop, settings.store_address,
                                                  Milliseconds(1'000));
     under_test = std::make_unique<gateway::Gateway>(
