Read on after an interim answer

What callers saw: an endpoint that sent an interim answer, such as 100 or 102, before its answer or without end. The endpoint counted as sound and was asked again and again, and its connection was used again, with the real answer still to come on it.

Cause: the parser gives an interim answer as a whole message, and the client took each whole message for the answer to its request.

Change: interim answers are dropped, 16 for a request; a further one, and a switch to another protocol, are a bad answer, and the connection is reset. The request's deadline is not changed by them.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -37,6 +37,11 @@
 // A connection is not reused within this time before the server closes it.
 constexpr Milliseconds kKeepAliveMargin{1000};
 
+constexpr unsigned kFirstInterimStatus = 100;
+constexpr unsigned kFirstFinalStatus = 200;
+// A server sends a few of them at most.
+constexpr unsigned kMaxInterimAnswers = 16;
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 // Returns the "timeout" parameter of a Keep-Alive header.
@@ -146,6 +151,7 @@
   bool write_failed_ = false;
   bool skipped_answer_ = false;
   bool reset_ = false;
+  unsigned interim_answers_ = 0;  // of this exchange
 };
 
 void HttpClient::Impl::Connection::Begin(std::uint64_t id, HttpRequest request,
@@ -158,6 +164,7 @@
   written_ = false;
   write_failed_ = false;
   skipped_answer_ = false;
+  interim_answers_ = 0;
   exchange_ = id;
 }
 
@@ -292,6 +299,13 @@
                         buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
                         std::move(message.body())};
+  if (message.result_int() < kFirstFinalStatus) {
+    // Interim, but for a switch to another protocol: that was not asked for.
+    const bool interim = message.result_int() >= kFirstInterimStatus &&
+                         message.result() != http::status::switching_protocols;
+    if (interim && ++interim_answers_ <= kMaxInterimAnswers) return Read();
+    return FinishFailed(HttpFailure::kBadAnswer, "no final answer");
+  }
   const auto& skip = client_->options_.skip_answer;
   if (skip && !unframed && skip(request_, response)) {
     skipped_answer_ = true;
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -16,6 +16,7 @@
 #include <optional>
 #include <vector>
 
+#include "StandIn/await.h"
 #include "StandIn/endless_server.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -88,6 +89,12 @@
       {"trailer_value", {kChunked + "0\r\nA: ", "xxxxxxx", {}}},
       {"no_length", {kOk + "\r\n", "x", {}}},
       {"no_length_not_accepted", {kOk + "\r\n", "x", {}}, false},
+      {"continue", {"", "HTTP/1.1 100 Continue\r\n\r\n", {}}},
+      {"processing", {"", "HTTP/1.1 102 Processing\r\n\r\n", {}}},
+      {
+          "switching",
+          {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "x", {}},
+      },
   };
 }
 
@@ -97,7 +104,8 @@
   std::erase_if(cases, [](const AnswerCase& input) {
     const std::string name = input.name;
     return name == "not_http" || name == "length_over_the_limit" ||
-           name == "large_chunk" || name == "folded_header";
+           name == "large_chunk" || name == "switching" ||
+           name == "folded_header";
   });
   cases.push_back({"sized_body", {kSized, "x", {}}});
   for (AnswerCase& input : cases) input.answer.interval = Milliseconds(20);
@@ -275,6 +283,25 @@
                  std::chrono::nanoseconds(kMaxLateness).count());
 }
 
+// Guards against an interim answer that is taken for the final one.
+BOOST_AUTO_TEST_CASE(InterimAnswersAreNotTheAnswer) {
+  Fixture fixture;
+  const std::string interim = "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n";
+  const EndlessServer server({"HTTP/1.1 100 Continue\r\n\r\n" + interim +
+                                  interim + kOk + "Content-Length: 2\r\n\r\nok",
+                              "",
+                              {}});
+  HttpClient client(fixture.loop, server.address(), fixture.options);
+  const auto outcome = Await<HttpClient::Outcome>(fixture.loop, [&](auto done) {
+    client.Send({"GET", "/", {}, "", 0}, kTimeout, done);
+  });
+  BOOST_REQUIRE(outcome.response);
+  BOOST_CHECK_EQUAL(outcome.response->status, 200U);
+  BOOST_CHECK_EQUAL(outcome.response->body, "ok");
+  // The connection can be used again.
+  BOOST_CHECK_EQUAL(client.open_connections(), 1U);
+}
+
 // Guards against an answer whose bytes put off the time-out.
 BOOST_AUTO_TEST_CASE(DrippingAnswersEndAtTheTimeout) {
   struct Exchange {
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -42,6 +42,7 @@
     kOk +
     "X-Balsamhall-Request-Id: other\r\n"
     "X-Balsamhall-Server-Stamp: s\r\nContent-Length: 1\r\n\r\nx";
+const std::string kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 constexpr Milliseconds kSlow{20};
 
 const std::vector<BytesCase> kCases = {
@@ -51,6 +52,7 @@
      {kOk + "X-Balsamhall-Server-Stamp: s\r\n\r\n", "xxxxxxx", kSlow}},
     {"chunk_extension",
      {kOk + "Transfer-Encoding: chunked\r\n\r\n1;", "xxxxxxx", {}}},
+    {"continue", {"", kContinue, {}}},
     {"slow_other_answers", {"", kOther, kSlow}},
 };
 
