End an exchange after too many answers to other requests

Safe requests were answered 504 at the route's time-out although another endpoint could have answered.

Cause: each answer to another request was dropped and the next one read, without a limit on their number.

Change: 16 of them are dropped for a request. One more is a bad answer, and the connection is reset. Late extra answers come one at a time, so that a sound endpoint is not affected.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -41,6 +41,8 @@
 constexpr unsigned kFirstFinalStatus = 200;
 // A server sends a few of them at most.
 constexpr unsigned kMaxInterimAnswers = 16;
+// Late extra answers come one at a time.
+constexpr unsigned kMaxSkippedAnswers = 16;
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
@@ -149,9 +151,9 @@
   bool pooled_ = false;
   bool written_ = false;
   bool write_failed_ = false;
-  bool skipped_answer_ = false;
   bool reset_ = false;
   unsigned interim_answers_ = 0;  // of this exchange
+  unsigned skipped_answers_ = 0;  // of this exchange
 };
 
 void HttpClient::Impl::Connection::Begin(std::uint64_t id, HttpRequest request,
@@ -163,7 +165,7 @@
   done_ = std::move(done);
   written_ = false;
   write_failed_ = false;
-  skipped_answer_ = false;
+  skipped_answers_ = 0;
   interim_answers_ = 0;
   exchange_ = id;
 }
@@ -295,7 +297,7 @@
   }
   auto& message = parser_->get();
   const bool reusable = message.keep_alive() && !unframed && written_ &&
-                        !write_failed_ && !skipped_answer_ &&
+                        !write_failed_ && skipped_answers_ == 0 &&
                         buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
                         std::move(message.body())};
@@ -308,7 +310,9 @@
   }
   const auto& skip = client_->options_.skip_answer;
   if (skip && !unframed && skip(request_, response)) {
-    skipped_answer_ = true;
+    if (++skipped_answers_ > kMaxSkippedAnswers) {
+      return FinishFailed(HttpFailure::kBadAnswer, "answers to other requests");
+    }
     return Read();
   }
   const auto& accept = client_->options_.accept_answer;
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -60,9 +60,15 @@
   return out << input.name;
 }
 
+bool IsOther(const HttpRequest& /*request*/, const HttpResponse& response) {
+  return FindHeader(response.headers, "Id") == "other";
+}
+
 const std::string kOk = "HTTP/1.1 200 OK\r\n";
 const std::string kChunked = kOk + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kSized = kOk + "Content-Length: 1000000\r\n\r\n";
+const std::string kOther =
+    "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n\r\nx";
 // As long as a power of two, so that the reads end at the ends of lines.
 const std::string kLine = Padded("A: ", 64);
 const std::string kWholeLines = Padded("HTTP/1.1 200 ", 64);
@@ -95,6 +101,7 @@
           "switching",
           {"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", "x", {}},
       },
+      {"other_answers", {"", kOther, {}}},
   };
 }
 
@@ -116,6 +123,7 @@
 struct Fixture {
   Fixture() : ticks(loop) {
     options.max_body_bytes = kMaxBodyBytes;
+    options.skip_answer = IsOther;
     at_start = ResidentBytes();
     Tick();
   }
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -53,6 +53,7 @@
     {"chunk_extension",
      {kOk + "Transfer-Encoding: chunked\r\n\r\n1;", "xxxxxxx", {}}},
     {"continue", {"", kContinue, {}}},
+    {"other_answers", {"", kOther, {}}},
     {"slow_other_answers", {"", kOther, kSlow}},
 };
 
