Limit what unfinished answers hold together

What callers saw: nothing of an answer's own limit (64 MB) helps when many come without end at once; 36 of them, on three endpoints, made the process hold 476 MB in the test, where a VM has 260 MB. The process would end, and with it every request in progress.

Cause: the limit of a body is one of a connection, and nothing limited their sum: 12 connections for each endpoint. The class of fault is a limit on a part without one on the whole.

Change: the forwarder's clients share an AnswerMemory of 128 MB, half of a VM. An answer may hold as much as is left beside it, so that the largest reach the limit first: one alone can still reach 64 MB, 36 that grow together reach 3.5 MB each, and short answers find room beside them. An answer that reaches it is a bad answer and its connection is reset: unsafe requests are answered 502, safe ones repeated.

Evidence: many_bodies_without_end_leave_memory failed before with 476,041,216 bytes of 272,629,760; with the change it passes, and a request for another service is served after it.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -28,6 +28,8 @@
 constexpr Milliseconds kMaxIdleNonIdempotent{600};
 constexpr std::size_t kConnectionsPerEndpoint = 12;
 constexpr std::size_t kMaxResponseBytes = 64U << 20U;
+// Half of a VM's memory; one response alone can reach its own limit.
+constexpr std::size_t kMaxUnfinishedResponseBytes = 128U << 20U;
 // Network delay of the response, by distance. The time limit sent to the
 // endpoint is that much shorter than the caller's.
 constexpr Milliseconds kOneWayDelaySameRegion{4};
@@ -144,6 +146,8 @@
       settings_(settings),
       dialect_(dialect),
       metrics_(metrics),
+      answer_memory_(
+          std::make_shared<AnswerMemory>(kMaxUnfinishedResponseBytes)),
       timers_(std::make_unique<Timers>(loop)) {}
 
 Forwarder::~Forwarder() = default;
@@ -217,6 +221,7 @@
     options.max_connections = kConnectionsPerEndpoint;
     options.connect_timeout = kConnectTimeout;
     options.max_body_bytes = kMaxResponseBytes;
+    options.answer_memory = answer_memory_;
     options.accept_unframed = true;
     options.max_idle = kMaxIdle;
     options.skip_answer = [this](const HttpRequest& request,
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -119,6 +119,7 @@
   const BackendDialect& dialect_;
   Metrics& metrics_;
   RequestLog log_;
+  std::shared_ptr<AnswerMemory> answer_memory_;
   std::shared_ptr<const RouteTable> routes_;
   SplitPicker split_;
   std::map<ServiceId, std::unique_ptr<ServiceState>> services_;
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -9,9 +9,9 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <charconv>
 #include <unordered_map>
 #include <unordered_set>
@@ -58,8 +58,82 @@
   return std::chrono::seconds(seconds);
 }
 
+// The text of an unfinished body, which takes its bytes from an AnswerMemory.
+class HeldText {
+ public:
+  HeldText() = default;
+  HeldText(const HeldText&) = delete;
+  HeldText& operator=(const HeldText&) = delete;
+  ~HeldText() { Return(); }
+
+  void set_memory(std::shared_ptr<AnswerMemory> memory) {
+    memory_ = std::move(memory);
+  }
+  void Reserve(std::size_t bytes) { text_.reserve(bytes); }
+  // Returns false if there is no memory left.
+  bool Append(std::string_view bytes) {
+    if (memory_ && !memory_->Take(bytes.size(), text_.size())) return false;
+    text_ += bytes;
+    return true;
+  }
+  std::string Release() {
+    Return();
+    return std::exchange(text_, {});
+  }
+
+ private:
+  void Return() {
+    if (memory_) memory_->Return(text_.size());
+  }
+
+  std::shared_ptr<AnswerMemory> memory_;
+  std::string text_;
+};
+
+class HeldTextReader {
+ public:
+  template <bool is_request, class Fields>
+  HeldTextReader(http::header<is_request, Fields>& /*head*/, HeldText& text)
+      : text_(text) {}
+
+  // The names that the parser calls.
+  // NOLINTBEGIN(readability-identifier-naming)
+  void init(const boost::optional<std::uint64_t>& length, error_code& error) {
+    if (length) text_.Reserve(static_cast<std::size_t>(*length));
+    error = {};
+  }
+  std::size_t put(const asio::const_buffer& buffer, error_code& error) {
+    const std::string_view bytes(static_cast<const char*>(buffer.data()),
+                                 buffer.size());
+    if (!text_.Append(bytes)) {
+      error = http::error::body_limit;
+      return 0;
+    }
+    error = {};
+    return bytes.size();
+  }
+  void finish(error_code& error) { error = {}; }
+  // NOLINTEND(readability-identifier-naming)
+
+ private:
+  HeldText& text_;
+};
+
+struct HeldBody {
+  // NOLINTBEGIN(readability-identifier-naming)
+  using value_type = HeldText;
+  using reader = HeldTextReader;
+  // NOLINTEND(readability-identifier-naming)
+};
+
 }  // namespace
 
+bool AnswerMemory::Take(std::size_t bytes, std::size_t held) {
+  if (bytes > left_ || held + bytes > left_ - bytes) return false;
+  left_ -= bytes;
+  return true;
+}
+
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   class Connection;
@@ -139,7 +213,7 @@
   Socket socket_;
   Timer timer_;
   boost::beast::flat_buffer buffer_{http_wire::kMaxUnparsedBytes};
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::optional<http::response_parser<HeldBody>> parser_;
   HttpRequest request_;
   std::string head_;
   Callback done_;
@@ -274,6 +348,7 @@
   stage_ = Stage::kReading;
   parser_.emplace();
   parser_->body_limit(client_->options_.max_body_bytes);
+  parser_->get().body().set_memory(client_->options_.answer_memory);
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
@@ -300,7 +375,7 @@
                         !write_failed_ && skipped_answers_ == 0 &&
                         buffer_.size() == 0;
   HttpResponse response{message.result_int(), http_wire::CopyHeaders(message),
-                        std::move(message.body())};
+                        message.body().Release()};
   if (message.result_int() < kFirstFinalStatus) {
     // Interim, but for a switch to another protocol: that was not asked for.
     const bool interim = message.result_int() >= kFirstInterimStatus &&
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -310,6 +310,17 @@
   BOOST_CHECK_EQUAL(client.open_connections(), 1U);
 }
 
+// Guards against short answers that fail because long ones hold the memory.
+BOOST_AUTO_TEST_CASE(ShortAnswersFindRoomBesideLongOnes) {
+  AnswerMemory memory(1000);
+  BOOST_CHECK(!memory.Take(600, 0));
+  BOOST_CHECK(memory.Take(400, 0));
+  BOOST_CHECK(!memory.Take(200, 400));
+  BOOST_CHECK(memory.Take(100, 0));
+  memory.Return(500);
+  BOOST_CHECK(memory.Take(500, 0));
+}
+
 // Guards against an answer whose bytes put off the time-out.
 BOOST_AUTO_TEST_CASE(DrippingAnswersEndAtTheTimeout) {
   struct Exchange {
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -1,9 +1,13 @@
 // Endpoints that answer with bytes without end, seen by callers.
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fstream>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -29,6 +33,19 @@
 // gateways share it.
 constexpr int kFirstRetries = 2;
 
+constexpr int kServers = 3;
+constexpr int kWrites = 36;
+constexpr std::size_t kVmBytes = 260U << 20U;
+// Below the limit of one response; many of them are more than a VM has.
+constexpr std::uint64_t kBytesOfEach = 12U << 20U;
+
+std::size_t ResidentBytes() {
+  std::size_t pages = 0;
+  std::ifstream statm("/proc/self/statm");
+  statm >> pages >> pages;
+  return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
+}
+
 struct BytesCase {
   const char* name;
   EndlessAnswer answer;
@@ -173,6 +190,54 @@
       kRouteTimeout + kMaxLateness));
 }
 
+// Guards against bodies without end that together fill the memory of a VM.
+BOOST_AUTO_TEST_CASE(many_bodies_without_end_leave_memory) {
+  std::vector<std::unique_ptr<EndlessEndpoint>> endpoints;
+  Entries entries{{"i-1", ""}, {"i-2", ""}};
+  for (int i = 0; i < kServers; ++i) {
+    endpoints.push_back(std::make_unique<EndlessEndpoint>(
+        EndlessAnswer{kOk + "X-Balsamhall-Server-Stamp: s\r\n\r\n",
+                      std::string(4096, 'x'),
+                      {},
+                      kBytesOfEach}));
+    json entry = json::parse(endpoints.back()->Entry("plain"));
+    entry["info"]["slots"] = kWrites;
+    entries["i-9" + std::to_string(i)] = entry.dump();
+  }
+  GatewayFixture fixture(entries);
+  std::vector<unsigned> statuses;
+  for (int i = 0; i < kWrites; ++i) {
+    HttpRequest request =
+        fixture.Request("/slow/write/1", "r" + std::to_string(i));
+    request.headers.at(2).second = "3000";
+    fixture.front->Send(
+        request, Milliseconds(7'000), [&](const HttpClient::Outcome& outcome) {
+          statuses.push_back(outcome.response ? outcome.response->status : 0U);
+        });
+  }
+  const auto asked = [&] {
+    int sum = 0;
+    for (const auto& endpoint : endpoints) sum += endpoint->server.asked();
+    return sum;
+  };
+  std::size_t most = 0;
+  BOOST_CHECK(fixture.RunUntil(
+      [&] {
+        most = std::max(most, ResidentBytes());
+        return statuses.size() == kWrites;
+      },
+      Milliseconds(4'000)));
+  BOOST_CHECK_EQUAL(asked(), kWrites);
+  // Those for which there was room time out.
+  const auto refused = std::ranges::count(statuses, 502U);
+  BOOST_CHECK_GT(refused, 0);
+  BOOST_CHECK_EQUAL(refused + std::ranges::count(statuses, 504U), kWrites);
+  BOOST_CHECK_LT(most, kVmBytes);
+  // The memory is free again.
+  BOOST_CHECK_EQUAL(fixture.Send(fixture.Request("/keyed/1", "keyed")).status,
+                    200U);
+}
+
 // Guards against an endpoint that sends on after the caller of a safe request
 // has left, or after the deadline of an unsafe one.
 BOOST_DATA_TEST_CASE(bytes_without_end_stop_when_the_caller_leaves,
