Limit the length of a value in a log line

What operators saw: an answer of the store that could not be parsed made a log line as long as the answer, up to its limit of 8 MB; each further failed call could add one, and up to 8,192 lines wait in memory.

Cause: the error text of the JSON parser quotes the token that it could not read, and nothing limits a value of a log line.

Change: a value is cut after 1,024 bytes, for all events.

Evidence: log_text_is_bounded failed before with a line of 1,048,777 bytes; with the change it passes.

--- a/Source/telemetry/event_log.cc
+++ b/Source/telemetry/event_log.cc
@@ -11,6 +11,9 @@
 namespace {
 
 constexpr std::size_t kQueuedLines = 8192;
+// A value may quote what another system sent.
+constexpr std::size_t kMaxValueBytes = 1024;
+constexpr std::string_view kCutMark = "...";
 constexpr const char* kPattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
 
 std::shared_ptr<spdlog::logger>& Logger() {
@@ -44,7 +47,7 @@
          });
 }
 
-void AppendValue(std::string& line, std::string_view value) {
+void AppendWholeValue(std::string& line, std::string_view value) {
   if (!NeedsQuotes(value)) {
     line += value;
     return;
@@ -65,6 +68,12 @@
   line += '"';
 }
 
+void AppendValue(std::string& line, std::string_view value) {
+  if (value.size() <= kMaxValueBytes) return AppendWholeValue(line, value);
+  AppendWholeValue(
+      line, std::string(value.substr(0, kMaxValueBytes)).append(kCutMark));
+}
+
 }  // namespace
 
 std::string FormatEvent(std::string_view event, unsigned code,
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -13,6 +13,7 @@
 
 #include "StandIn/endless_server.h"
 #include "gateway_fixture.h"
+#include "telemetry/event_log.h"
 
 namespace balsamhall::platform {
 namespace {
@@ -46,6 +47,8 @@
   return pages * static_cast<std::size_t>(::sysconf(_SC_PAGESIZE));
 }
 
+constexpr std::size_t kMaxLineBytes = 4'096;
+
 struct BytesCase {
   const char* name;
   EndlessAnswer answer;
@@ -253,5 +256,24 @@
   BOOST_CHECK_EQUAL(fixture.server.asked(), 1);
 }
 
+// Guards against a log line as long as what a faulty store sent.
+BOOST_AUTO_TEST_CASE(log_text_is_bounded) {
+  const std::string text = "{\"items\":\"" + std::string(1U << 20U, 'x');
+  const EndlessServer server(
+      {kOk + "Content-Length: " + std::to_string(text.size()) + "\r\n\r\n" +
+           text,
+       "",
+       {}});
+  boost::asio::io_context loop{1};
+  StoreClient store(loop, server.address(), Milliseconds(1'000));
+  const auto result = Await<gateway::ReadResult>(loop, [&](auto done) {
+    store.ReadNewest(gateway::Log::kEndpointRegistry, done);
+  });
+  BOOST_CHECK(!result.page);
+  const std::string line =
+      FormatEvent("store_unavailable", 0, {{"detail", result.detail}});
+  BOOST_CHECK_LT(line.size(), kMaxLineBytes);
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
