--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "StandIn/endless_server.h"
+#include "gateway/lease_keeper.h"
 #include "gateway_fixture.h"
 #include "telemetry/event_log.h"
 
@@ -256,6 +257,18 @@
   BOOST_CHECK_EQUAL(fixture.server.asked(), 1);
 }
 
+// Guards against answers to lease calls that are read up to the limit of a
+// caller's response: an endpoint answers them without a body.
+BOOST_AUTO_TEST_CASE(long_answers_to_lease_calls_are_not_read) {
+  EndlessEndpoint endpoint(
+      {kOk + "Content-Length: 1000000\r\n\r\n", "x", kSlow});
+  GatewayFixture fixture(
+      Entries{{"i-3", ""}, {"i-9", endpoint.Entry("keyed")}});
+  BOOST_REQUIRE(fixture.RunUntil([&] { return endpoint.server.asked() == 1; }));
+  BOOST_CHECK(fixture.RunUntil([&] { return endpoint.server.reset() == 1; },
+                               gateway::LeaseKeeper::kCallTimeout / 2));
+}
+
 // Guards against a log line as long as what a faulty store sent.
 BOOST_AUTO_TEST_CASE(log_text_is_bounded) {
   const std::string text = "{\"items\":\"" + std::string(1U << 20U, 'x');
