--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -15,6 +15,8 @@
 // time.
 constexpr Milliseconds kMaxCallIdle{6'000};
 constexpr Milliseconds kCallConnectTimeout{250};
+// Lease calls are answered without a body, or with a short text.
+constexpr std::size_t kMaxCallAnswerBytes = 64U << 10U;
 
 template <class... Visitors>
 struct Overloaded : Visitors... {
@@ -158,6 +160,7 @@
     HttpClientOptions options;
     options.connect_timeout = kCallConnectTimeout;
     options.max_idle = kMaxCallIdle;
+    options.max_body_bytes = kMaxCallAnswerBytes;
     // Each connection stands for the lease that was granted on it.
     options.close_older_after_failure = false;
     client = std::make_unique<HttpClient>(loop_, address, options);
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -25,8 +25,6 @@
 // this time.
 constexpr Milliseconds kAvoidReaderTime{5'000};
 constexpr Milliseconds kConnectTimeout{250};
-// Lease calls are answered without a body, or with a short text.
-constexpr std::size_t kMaxCallAnswerBytes = 64U << 10U;
 
 std::vector<ShardKey> DecodeKeys(std::string_view bytes) {
   std::vector<ShardKey> keys;
@@ -55,7 +53,6 @@
   if (!client) {
     HttpClientOptions options;
     options.connect_timeout = kConnectTimeout;
-    if (&pool == &call_clients_) options.max_body_bytes = kMaxCallAnswerBytes;
     client = std::make_unique<HttpClient>(loop_, address, options);
   }
   return *client;
--- a/Source/telemetry/event_log.cc
+++ b/Source/telemetry/event_log.cc
@@ -12,7 +12,7 @@
 
 constexpr std::size_t kQueuedLines = 8192;
 // A value may quote what another system sent.
-constexpr std::size_t kMaxValueBytes = 4096;
+constexpr std::size_t kMaxValueBytes = 1024;
 constexpr std::string_view kCutMark = "...";
 constexpr const char* kPattern = "time=%Y-%m-%dT%H:%M:%S.%e%z level=%l %v";
 
--- a/Source/telemetry/event_log.h
+++ b/Source/telemetry/event_log.h
@@ -15,7 +15,7 @@
 
 // Returns "event=NAME code=N key=value ..."; values that hold spaces, quotes,
 // equals signs or control characters are quoted and escaped, and longer ones
-// end after 4,096 bytes with "...". Thread-safe.
+// end after 1,024 bytes with "...". Thread-safe.
 std::string FormatEvent(std::string_view event, unsigned code,
                         const EventFields& fields);
 
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -123,7 +123,11 @@
 struct Fixture {
   Fixture() : ticks(loop) {
     options.max_body_bytes = kMaxBodyBytes;
-    options.skip_answer = IsOther;
+    options.named_request = [](const HttpRequest& request,
+                               const HttpResponse& response) {
+      return IsOther(request, response) ? NamedRequest::kOther
+                                        : NamedRequest::kThis;
+    };
     at_start = ResidentBytes();
     Tick();
   }
--- a/Tests/Telemetry/telemetry_test.cc
+++ b/Tests/Telemetry/telemetry_test.cc
@@ -38,7 +38,7 @@
         {{{"k", "a\nlevel=x"}}, "event=e code=7 k=\"a\\nlevel=x\""},
         {{{"k", "a\x01"}}, "event=e code=7 k=\"a\\x01\""},
         {{{"k", std::string(1'000'000, 'x')}, {"l", "m"}},
-         "event=e code=7 k=" + std::string(4'096, 'x') + "... l=m"},
+         "event=e code=7 k=" + std::string(1'024, 'x') + "... l=m"},
     }),
     line) {
   BOOST_CHECK_EQUAL(FormatEvent("e", 7, line.fields), line.expected);
