Take grant responses only from the endpoint itself

What was seen: found by reading, after two endpoints held the same keys because a call reached another process at the address that it was sent to. The backup router fails over the other endpoint, which has a primary, and a reset takes the other endpoint's partitions.

Cause: the endpoint refuses a grant for another endpoint, but the sender compares neither the status nor the name in the response.

Change: primary, backup and reset ignore a response whose view names another endpoint. The existing reset test now names the endpoint in its state, as endpoints do.

--- a/Source/core/endpoint_backup.cc
+++ b/Source/core/endpoint_backup.cc
@@ -49,7 +49,8 @@
 
 std::optional<schema::GrantResponse> EndpointBackup::OnGrantResponse(
     const schema::GrantResponse& response) {
-  if (retired_ || response.sequence() <= last_response_sequence_) {
+  if (retired_ || response.sequence() <= last_response_sequence_ ||
+      response.view().endpoint() != view_.endpoint()) {
     return std::nullopt;
   }
   last_response_sequence_ = response.sequence();
--- a/Source/core/endpoint_primary_grants.cc
+++ b/Source/core/endpoint_primary_grants.cc
@@ -105,6 +105,8 @@
 
 void EndpointPrimary::OnGrantResponse(const schema::GrantResponse& response) {
   if (demoted_ || response.sequence() <= last_response_sequence_) return;
+  // Another endpoint serves at the address, which says nothing of this one.
+  if (response.view().endpoint() != endpoint()) return;
   last_response_sequence_ = response.sequence();
   if (DemoteIfSuperseded(response)) return;
   const bool was_suspected = Suspected();
--- a/Source/core/endpoint_reset.cc
+++ b/Source/core/endpoint_reset.cc
@@ -71,6 +71,7 @@
 }
 
 void EndpointReset::OnGrantResponse(const schema::GrantResponse& response) {
+  if (response.view().endpoint() != view_.endpoint()) return;
   if (response.full_state()) endpoint_state_ = response;
 }
 
--- a/Tests/Core/endpoint_primary_test.cc
+++ b/Tests/Core/endpoint_primary_test.cc
@@ -1,6 +1,9 @@
 #include "core/endpoint_primary.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
 
 #include "Core/fake_control_context.h"
 #include "core/lease_holder.h"
@@ -182,5 +185,50 @@
   BOOST_CHECK(FromProto(routing.partitions(0).epoch()) == (Fence{11, 2}));
 }
 
+struct OtherEndpointCase {
+  const char* name;
+  Fence term;  // of its view; zero: it has none
+};
+
+std::ostream& operator<<(std::ostream& out, const OtherEndpointCase& test) {
+  return out << test.name;
+}
+
+const OtherEndpointCase kOtherEndpoints[] = {
+    {"without a view", {}},
+    {"with a lower term", {9, 1}},
+    {"with a higher term", {12, 1}},
+};
+
+// Guards against a lost endpoint that is never evicted because another one
+// answers at its address.
+BOOST_DATA_TEST_CASE(AnotherEndpointAtTheAddressIsNoAnswer,
+                     boost::unit_test::data::make(kOtherEndpoints), test) {
+  FakeControlContext context;
+  LeaseHolder holder("e1", kIncarnation, true);
+  context.NextGrantSequence();
+  schema::GrantRequest request = MakeFailoverRequest(holder);
+  request.set_lease_ms(600);
+  const auto response = holder.OnGrant(request, context.time, 0);
+  EndpointPrimary primary = EndpointPrimary::AfterFailover(
+      &context, "lookup", response, context.time);
+  LeaseHolder other("e9", kIncarnation + 1, true);
+  if (!test.term.IsZero()) {
+    schema::GrantRequest grant = MakeFailoverRequest(other);
+    grant.mutable_view()->set_endpoint("e9");
+    *grant.mutable_view()->mutable_term() = ToProto(test.term);
+    grant.mutable_view()->mutable_primary()->set_id("r9");
+    BOOST_REQUIRE(other.OnGrant(grant, context.time, 0).status() ==
+                  schema::GRANT_ACCEPTED);
+  }
+  for (int i = 0; i < 10; ++i) {
+    context.time += Milliseconds(200);
+    primary.OnTick();
+    DeliverActions(&context, &other, &primary);
+  }
+  BOOST_CHECK(!primary.demoted());
+  BOOST_CHECK(primary.phase() == EndpointPrimary::Phase::kEvicting);
+}
+
 }  // namespace
 }  // namespace balsamhall
--- a/Tests/Core/endpoint_reset_test.cc
+++ b/Tests/Core/endpoint_reset_test.cc
@@ -153,6 +153,7 @@
   reset.SetOwnClaims(schema::LocateReply());
   if (test.held_at_endpoint) {
     schema::GrantResponse state;
+    state.mutable_view()->set_endpoint("e1");
     state.set_full_state(true);
     *state.add_held()->mutable_epoch() = ToProto(Fence{11, 1});
     reset.OnGrantResponse(state);
@@ -170,5 +171,28 @@
   BOOST_CHECK_EQUAL(initial_state->partitions.contains(0), test.granted);
 }
 
+// Guards against a reset that takes the partitions of another endpoint, which
+// answers at the address of the lost one.
+BOOST_AUTO_TEST_CASE(AnotherEndpointAtTheAddressIsNotReset) {
+  FakeControlContext context;
+  schema::View view;
+  view.set_endpoint("e1");
+  *view.mutable_term() = ToProto(Fence{kResetOffset, 0});
+  EndpointReset reset(&context, "lookup", view, 1, Milliseconds(0));
+  reset.SetOwnClaims(schema::LocateReply());
+  schema::GrantResponse state;
+  state.mutable_view()->set_endpoint("e9");
+  state.set_full_state(true);
+  *state.add_held()->mutable_epoch() = ToProto(Fence{11, 1});
+  reset.OnGrantResponse(state);
+  reset.OnTick();
+  context.time += Milliseconds(1);
+  context.endpoints = {"e1", "e2"};
+  const auto initial_state = reset.Resolve({"e2"});
+  BOOST_REQUIRE(initial_state);
+  BOOST_CHECK(initial_state->evict_at.has_value());
+  BOOST_CHECK(!initial_state->partitions.contains(0));
+}
+
 }  // namespace
 }  // namespace balsamhall
