Confirm no lease table by a gateway that has not read the leases

What could be seen: a gateway that follows another one, or asks it during a store outage, takes its own lease table as confirmed now, although the process that answered knows no table at all. The process that answers is a restarted one at the address of the reader. The asking gateway could renew a table that is older than the limit of a view's age; keys that were moved in the meantime then have two holders.

Cause: the age of the leases in a peer's response is the least confirmation time of its lease keepers, and now if it has none. A process that has read the registry, but neither the configuration nor the leases, has none. With the configuration read, the age was the time since the VM started, which may be short after a restart of the VM, and is compared with another VM's clock.

Change: such a response states an age of 24 hours, which confirms nothing.

--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -25,6 +25,9 @@
 // this time.
 constexpr Milliseconds kAvoidReaderTime{5'000};
 constexpr Milliseconds kConnectTimeout{250};
+// Age of leases that were never read: far above LeaseKeeper::kMaxViewAge. The
+// time since the VM started would not do, because it may be short.
+constexpr Milliseconds kNeverConfirmedAge{std::chrono::hours(24)};
 
 std::vector<ShardKey> DecodeKeys(std::string_view bytes) {
   std::vector<ShardKey> keys;
@@ -240,7 +243,9 @@
   if (EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
     state.endpoints = registry_.endpoints();
   }
-  BootTime confirmed = BootClock::now();
+  const BootTime now = BootClock::now();
+  // Without a keeper, this gateway has not read the leases.
+  BootTime confirmed = keepers_.empty() ? BootTime{} : now;
   for (const auto& keeper : keepers_ | std::views::values) {
     state.leases_end = std::max(state.leases_end, keeper->log_end());
     confirmed = std::min(confirmed, keeper->confirmed_at());
@@ -249,8 +254,10 @@
     }
   }
   state.leases_age =
-      std::chrono::duration_cast<Milliseconds>(BootClock::now() - confirmed) +
-      Milliseconds(1);
+      confirmed == BootTime{}
+          ? kNeverConfirmedAge
+          : std::chrono::duration_cast<Milliseconds>(now - confirmed) +
+                Milliseconds(1);
   return {200, {}, SerializePeerState(state)};
 }
 
--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -122,6 +122,7 @@
     if (fault_ != StoreFault::kLoseAppends) respond(response);
     return;
   }
+  if (silent_topics_.contains(target.Text("topic"))) return;
   if (call == "log-newest") return respond(Newest(target.Text("topic")));
   if (call == "log-read") {
     return Read(target.Text("topic"), target.Number("from", 0),
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -5,7 +5,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "net/http_server.h"
@@ -36,6 +38,10 @@
   // Deletes the records of a topic; the newest of each key stay readable.
   void Compact(const std::string& topic);
   void set_fault(StoreFault fault) { fault_ = fault; }
+  // Reads of these topics get no answer.
+  void set_silent_topics(std::set<std::string> topics) {
+    silent_topics_ = std::move(topics);
+  }
   std::size_t calls(const std::string& name) const;
 
  private:
@@ -63,6 +69,7 @@
   SteadyTime member_until_;
   std::uint64_t generation_ = 0;
   StoreFault fault_ = StoreFault::kNone;
+  std::set<std::string> silent_topics_;
 };
 
 }  // namespace balsamhall::stand_in
