Ask peers for the lease tables of all services

What could be seen: in a fleet with two or more services that are sharded by key, a gateway that follows another one keeps an old table of one service and counts it as confirmed. Its requests go to the previous holders, and as a renewer it renews leases of keys that were moved.

Cause: a gateway names the newest table that it has, of any service, as the point up to which it knows the lease log. A leader publishes single tables directly, so a gateway may have the newest table of one service and miss an earlier record of another. Its reader then sends neither that record nor anything that shows the gap, and confirms the end of the log.

Change: the request names the offset up to which the log was read.

Evidence: tables_of_all_services_reach_a_follower failed before the change; usersplatform_test passes with it.

--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -128,7 +128,7 @@
   query.endpoints_digest =
       registry_.loaded() ? EndpointsDigest(registry_.endpoints()) : 0;
   for (const auto& keeper : keepers_ | std::views::values) {
-    query.leases_end = std::max(query.leases_end, keeper->table().version);
+    query.leases_end = std::max(query.leases_end, keeper->log_end());
   }
   query.long_poll = long_poll;
   return query;
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -19,6 +19,7 @@
 struct PeerStateRequest {
   std::uint64_t config_version = 0;
   std::uint64_t endpoints_digest = 0;
+  // Offset up to which the lease log is known, for all services.
   std::uint64_t leases_end = 0;
   // The response may be delayed until there is something new.
   bool long_poll = false;
--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersPlatform/gateway_peers_test.cc
@@ -10,6 +10,7 @@
 namespace balsamhall::platform {
 namespace {
 
+using gateway::LeaseTable;
 using gateway::PeerState;
 
 constexpr const char* kLeasesTopic = "keyed.balsamhall-leases";
@@ -67,5 +68,35 @@
              gateway::LeaseKeeper::kMaxViewAge.count());
 }
 
+// Guards against an old table of one service that counts as confirmed because a
+// newer table of another service is known.
+BOOST_FIXTURE_TEST_CASE(tables_of_all_services_reach_a_follower, FleetFixture) {
+  BOOST_REQUIRE(RunUntil([this] { return keyed.Holds(77); }));
+  Other follower(*this, "gateway-2");
+  BOOST_REQUIRE(follower.process.Start());
+  const auto table_of =
+      [&](const ServiceId& service) -> std::optional<LeaseTable> {
+    for (LeaseTable& table : StateOf(follower).tables) {
+      if (table.service == service) return std::move(table);
+    }
+    return std::nullopt;
+  };
+  std::optional<LeaseTable> published;
+  BOOST_REQUIRE(RunUntil([&] {
+    published = table_of("keyed");
+    return published.has_value();
+  }));
+  // Published by a leader, whose record is later than the next one below.
+  const auto response = Ask(follower, {"POST",
+                                       "/table/keyed/1000",
+                                       {},
+                                       gateway::SerializeLeaseTable(*published),
+                                       0});
+  BOOST_REQUIRE(response);
+  BOOST_REQUIRE(response->status == 200U);
+  store.Put(kLeasesTopic, "other", gateway::SerializeLeaseTable(*published));
+  BOOST_TEST(RunUntil([&] { return table_of("other").has_value(); }));
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
