Tell the processes of a gateway apart after a jump of the clock

What could be seen: a restarted gateway that no other one takes for the current process. It never becomes a renewer of the lease tables, so in an outage of the store fewer gateways, or none, renew the leases.

Cause: the number of a process is the Unix time of its start, and later processes are expected to have higher numbers. If the time of day jumped back between the two starts, the later process looks like the earlier one, or, in the worst case, has the same number and the rights of the earlier one. The order of the records does not help either: an append of the earlier process may be carried out after that of the later process, which never looked at its own record again.

Change: a gateway reads the list of gateways before it registers, and takes a number above that of its earlier process. It registers again if it finds an earlier process's record under its id. Until it has registered, it adopts no published table.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -122,7 +122,6 @@
                     {"data_centre", settings_.data_centre},
                     {"store", settings_.store_address}});
   FollowLogs();
-  RegisterGateway();
   Tick();
   JoinElection();
   ReportKeyLoad();
@@ -139,6 +138,7 @@
 }
 
 void Gateway::Impl::RegisterGateway() {
+  registering_ = true;
   store_.Append(Log::kGateways, self_.id, SerializeGatewayInstance(self_),
                 std::nullopt, [this](AppendOutcome outcome) {
                   if (outcome == AppendOutcome::kDone) return;
@@ -149,6 +149,23 @@
                 });
 }
 
+void Gateway::Impl::RegisterIfNeeded() {
+  if (stopping_) return;
+  const auto newest = gateways_.find(self_.id);
+  const bool earlier = newest == gateways_.end() ||
+                       newest->second.incarnation < self_.incarnation;
+  if (!registering_ && !earlier) {
+    // The time of day has jumped back since the earlier process started.
+    self_.incarnation = newest->second.incarnation + 1;
+    LogInfo("incarnation_raised",
+            {{"router", self_.id},
+             {"incarnation", std::to_string(self_.incarnation)}});
+  } else if (!earlier) {
+    return;
+  }
+  RegisterGateway();
+}
+
 void Gateway::Impl::Tick() {
   const BootTime now = BootClock::now();
   OnRegistryChanges(
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -63,6 +63,9 @@
                       HttpServer::Handler handler);
   void FollowLogs();
   void RegisterGateway();
+  // Registers this process unless the store has its record or one of a later
+  // process.
+  void RegisterIfNeeded();
   // Runs the action once after the delay, unless the timer is set again or this
   // object is destroyed first.
   void RunAfter(boost::asio::steady_timer& timer, Milliseconds delay,
@@ -125,7 +128,7 @@
   const BackendDialect& dialect_;
   const RecordParsers parsers_;
   const BootTime started_;
-  const GatewayInstance self_;
+  GatewayInstance self_;  // constant once registration has started
   Metrics metrics_;
   Forwarder forwarder_;
   EndpointRegistry registry_;
@@ -137,6 +140,7 @@
   std::uint64_t registry_offset_ = 0;
   std::map<RouterId, GatewayInstance> gateways_;
   bool gateways_known_ = false;  // read from the store at least once
+  bool registering_ = false;     // the record has been sent at least once
   // Whether this gateway reads the configuration, registry and leases itself.
   bool reads_store_ = false;
   // The gateway through which this one reads the store; empty if there is none.
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -264,6 +264,8 @@
 HttpResponse Gateway::Impl::OnPeerTable(const std::string& service,
                                         std::uint64_t version,
                                         const std::string& body) {
+  // A lease keeper takes the identity of this process, which is not final yet.
+  if (!registering_) return {503, {}, ""};
   auto table = ParseLeaseTable(body);
   if (!table) return {400, {}, table.error().detail};
   table.value().service = service;
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -73,6 +73,7 @@
   gateways_follower_->Resume();
   RunAfter(follow_timer_, kGatewaysTimeout, [this] {
     if (gateways_known_) return;
+    RegisterGateway();
     ReadDirectly("list of gateways not read in time");
     FollowReader();
   });
@@ -257,6 +258,7 @@
                                    ResultCode::kLogRecordMalformed, "dropped"});
     if (gateway) gateways_[gateway.value().id] = gateway.value();
   }
+  RegisterIfNeeded();
   forwarder_.SetGatewayCount(gateways_.size());
   // If the list arrives too late, following has already started.
   if (!std::exchange(gateways_known_, true) && !reads_store_) FollowReader();
--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersPlatform/gateway_peers_test.cc
@@ -1,7 +1,12 @@
 // Gateways of one fleet beside each other: what one of them learns from the
-// process at another one's address.
+// process at another one's address, and from its own record in the store.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <map>
 #include <optional>
+#include <ostream>
 
 #include "UsersPlatform/gateway_fixture.h"
 #include "gateway/lease_keeper.h"
@@ -10,9 +15,12 @@
 namespace balsamhall::platform {
 namespace {
 
+namespace data = boost::unit_test::data;
+using gateway::GatewayInstance;
 using gateway::LeaseTable;
 using gateway::PeerState;
 
+constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
 constexpr const char* kLeasesTopic = "keyed.balsamhall-leases";
 
 struct FleetFixture : GatewayFixture {
@@ -48,6 +56,21 @@
     BOOST_REQUIRE(state);
     return std::move(state.value());
   }
+
+  // The record under which a gateway is registered.
+  std::optional<GatewayInstance> Registered(const std::string& id) {
+    const auto result = Await<gateway::ReadResult>(loop, [&](auto done) {
+      store_client->ReadNewest(gateway::Log::kGateways, done);
+    });
+    if (!result.page) return std::nullopt;
+    for (const auto& record : result.page->records) {
+      if (record.key != id) continue;
+      auto instance = gateway::ParseGatewayInstance(*record.value);
+      BOOST_REQUIRE(instance);
+      return instance.value();
+    }
+    return std::nullopt;
+  }
 };
 
 // Guards against a gateway that goes on renewing an old lease table because a
@@ -98,5 +121,49 @@
   BOOST_TEST(RunUntil([&] { return table_of("other").has_value(); }));
 }
 
+struct EarlierProcessCase {
+  const char* name;
+  bool late;                 // its record is appended after the later process's
+  std::chrono::hours clock;  // its time of day, relative to the later process's
+};
+
+std::ostream& operator<<(std::ostream& out, const EarlierProcessCase& c) {
+  return out << c.name;
+}
+
+const EarlierProcessCase kEarlierProcesses[] = {
+    {"the time of day jumped back between the starts", false,
+     std::chrono::hours(1)},
+    {"the append of the earlier process was carried out late", true,
+     std::chrono::hours(-1)},
+};
+
+// Guards against a gateway that no other one takes for the current process:
+// its record was replaced by, or seems older than, that of its earlier process.
+BOOST_DATA_TEST_CASE_F(FleetFixture,
+                       the_later_process_of_a_gateway_is_registered,
+                       data::make(kEarlierProcesses), earlier) {
+  const auto clock = std::chrono::duration_cast<Milliseconds>(
+      (std::chrono::system_clock::now() + earlier.clock).time_since_epoch());
+  Other later(*this, "gateway-2");
+  const GatewayInstance record{"gateway-2",
+                               static_cast<std::uint64_t>(clock.count()),
+                               later.settings.peer_address, "a"};
+  const auto put_record = [&] {
+    store.Put(kGatewaysTopic, record.id,
+              gateway::SerializeGatewayInstance(record));
+  };
+  if (!earlier.late) put_record();
+  BOOST_REQUIRE(later.process.Start());
+  if (earlier.late) {
+    BOOST_REQUIRE(RunUntil([&] { return Registered(record.id).has_value(); }));
+    put_record();
+  }
+  BOOST_TEST(RunUntil([&] {
+    const auto registered = Registered(record.id);
+    return registered && registered->incarnation > record.incarnation;
+  }));
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
