Take a stand-down only from the router that failed over

The primary router of an endpoint, cut off from it, had proposed a view with another backup; the old backup failed over under the same term, lost the endpoint, and evicted it. The first router then took the endpoint back, under the next term, with the partitions that had moved.

Cause: a primary that finds another router's view at its endpoint keeps its role if that router has promised to stand down. It compared only the term with the highest promise of any router. The backup of the proposed view had promised to stand down under the same term, and its promise was taken as that of the router that had failed over.

Change: promises are kept by router and its process.

--- a/Source/core/endpoint_primary.h
+++ b/Source/core/endpoint_primary.h
@@ -229,6 +229,8 @@
 
   std::vector<Consent> consents_;
   Fence consented_through_;
+  // Highest term up to which each router has promised to stand down.
+  std::map<RouterRef, Fence> promised_terms_;
   SteadyTime last_consent_request_;
 
   std::optional<schema::View> requested_backup_view_;
--- a/Source/core/endpoint_primary_grants.cc
+++ b/Source/core/endpoint_primary_grants.cc
@@ -95,8 +95,13 @@
   const Fence proposed = proposed_ ? FromProto(proposed_->term()) : Fence{};
   const Fence own_term = std::max(Term(), proposed);
   if (current < own_term) return false;
-  // The backup that failed over has stood down since.
-  if (current <= consented_through_) return false;
+  // The router that failed over has stood down since. Another one's promise
+  // proves nothing: both may have been backup in views of the same term.
+  const auto promised =
+      promised_terms_.find(FromProto(response.view().primary()));
+  if (promised != promised_terms_.end() && current <= promised->second) {
+    return false;
+  }
   // A view that the endpoint never accepted gives way only to a higher one.
   if (phase_ == Phase::kBinding && current.offset < Term().offset) return false;
   Demote(false);
--- a/Source/core/endpoint_primary_loss.cc
+++ b/Source/core/endpoint_primary_loss.cc
@@ -110,6 +110,8 @@
                                        const schema::StandDownReply& reply) {
   if (demoted_ || !reply.promised()) return;
   const Fence promised_term = FromProto(reply.term());
+  Fence& known = promised_terms_[from];
+  known = std::max(known, promised_term);
   for (Consent& consent : consents_) {
     if (consent.router == from && promised_term >= consent.term) {
       consent.given = true;
--- a/Tests/Core/endpoint_primary_test.cc
+++ b/Tests/Core/endpoint_primary_test.cc
@@ -230,5 +230,64 @@
   BOOST_CHECK(primary.phase() == EndpointPrimary::Phase::kEvicting);
 }
 
+// Guards against two owners: the backup has failed over, and the promise of
+// another router to stand down under the same term is taken as the backup's.
+BOOST_AUTO_TEST_CASE(OnlyTheRouterThatFailedOverCanStandDown) {
+  FakeControlContext context;
+  const RouterRef old_backup{"r2", 2};
+  const RouterRef new_backup{"r3", 3};
+  context.endpoint_config.emplace().set_checks_fences(true);
+  context.candidates = {{new_backup, "a", "a"}};
+  LeaseHolder holder("e1", kIncarnation, true);
+  context.NextGrantSequence();
+  schema::GrantRequest request = MakeFailoverRequest(holder);
+  *request.mutable_view()->mutable_backup() = ToProto(old_backup);
+  const auto response = holder.OnGrant(request, context.time, 0);
+  EndpointPrimary primary = EndpointPrimary::AfterFailover(
+      &context, "lookup", response, context.time);
+
+  // The primary proposes a view with another backup, which does not arrive.
+  primary.OnTick();
+  std::optional<schema::View> proposed;
+  for (const OwnershipAction& action : std::exchange(context.actions, {})) {
+    const auto* send = std::get_if<SendPeerMessage>(&action);
+    if (send != nullptr && send->message.has_backup_request()) {
+      proposed = send->message.backup_request().view();
+    }
+  }
+  BOOST_REQUIRE(proposed);
+  schema::BackupReply agreement;
+  *agreement.mutable_view() = *proposed;
+  agreement.set_agreed(true);
+  primary.OnBackupReply(new_backup, agreement);
+
+  // The old backup fails over under the same term.
+  schema::GrantRequest failover;
+  *failover.mutable_view() = request.view();
+  *failover.mutable_view()->mutable_primary() = ToProto(old_backup);
+  failover.mutable_view()->clear_backup();
+  *failover.mutable_view()->mutable_term() = proposed->term();
+  *failover.mutable_previous_term() = request.view().term();
+  failover.set_sequence(1);
+  BOOST_REQUIRE(holder.OnGrant(failover, context.time, 0).status() ==
+                schema::GRANT_ACCEPTED);
+
+  // The new backup stands down, and the primary reaches the endpoint again.
+  context.time += Milliseconds(1'000);
+  primary.OnTick();
+  schema::StandDownReply promise;
+  promise.set_promised(true);
+  *promise.mutable_term() = proposed->term();
+  primary.OnStandDownReply(new_backup, promise);
+  context.actions.clear();
+  for (int i = 0; i < 5; ++i) {
+    context.time += Milliseconds(200);
+    primary.OnTick();
+    DeliverActions(&context, &holder, &primary);
+  }
+  BOOST_CHECK_EQUAL(holder.view().primary().id(), old_backup.id);
+  BOOST_CHECK(primary.demoted());
+}
+
 }  // namespace
 }  // namespace balsamhall
--- a/Tests/Core/fake_control_context.h
+++ b/Tests/Core/fake_control_context.h
@@ -4,6 +4,7 @@
 #define BALSAMHALL_TESTS_CORE_FAKE_CONTROL_CONTEXT_H_
 
 #include <map>
+#include <optional>
 #include <vector>
 
 #include "core/control_context.h"
@@ -22,6 +23,8 @@
   bool applied_by_all = false;
   std::map<PartitionId, EndpointId> targets;
   Fence known_term{20, 1};  // term of every KnownView
+  std::optional<schema::EndpointConfig> endpoint_config;  // of every endpoint
+  std::vector<RouterLocation> candidates;                 // for the roles
 
   SteadyTime now() const override { return time; }
   const RouterRef& self() const override { return router; }
@@ -34,10 +37,12 @@
     return {};
   }
   bool IsGone(const RouterRef&) const override { return false; }
-  std::vector<RouterLocation> CandidateRouters() const override { return {}; }
+  std::vector<RouterLocation> CandidateRouters() const override {
+    return candidates;
+  }
   std::vector<RouterRef> OtherRouters() const override { return others; }
   const schema::EndpointConfig* FindEndpoint(const EndpointId&) const override {
-    return nullptr;
+    return endpoint_config ? &*endpoint_config : nullptr;
   }
   std::vector<EndpointId> EndpointsOf(const ServiceId&) const override {
     return endpoints;
