Forget a gateway whose address another one has taken

What could be seen: a VM is removed and its address goes to a new gateway under another id. The record of the removed one remains. The new gateway finds it under a lower id, follows it, that is, itself, for 1.2 s, then reads the store alone, and starts over every 5 s. The others of its data centre follow the same process under the dead id and lose it whenever it does.

Cause: the list of gateways is kept by id, and nothing notices that two ids have one address.

Change: of several records with one address, the last in the log counts, and a gateway's own address is its own.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -64,7 +64,7 @@
   void FollowLogs();
   void RegisterGateway();
   // Registers this process unless the store has its record or one of a later
-  // process.
+  // process, and no later one at its address.
   void RegisterIfNeeded();
   // Runs the action once after the delay, unless the timer is set again or this
   // object is destroyed first.
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -251,13 +251,22 @@
 }
 
 void Gateway::Impl::OnGatewaysPage(const LogPage& page) {
-  for (const KeyedRecord& record : page.records) {
-    const auto gateway = record.value
-                             ? ParseGatewayInstance(*record.value)
-                             : Result<GatewayInstance>(Error{
-                                   ResultCode::kLogRecordMalformed, "dropped"});
-    if (gateway) gateways_[gateway.value().id] = gateway.value();
+  std::vector<KeyedRecord> records = page.records;
+  std::ranges::sort(records, std::less{}, &KeyedRecord::offset);
+  for (const KeyedRecord& record : records) {
+    if (!record.value) continue;
+    const auto gateway = ParseGatewayInstance(*record.value);
+    if (!gateway) continue;
+    const GatewayInstance& instance = gateway.value();
+    // The last process to register at an address is the one that has it.
+    std::erase_if(gateways_, [&](const auto& entry) {
+      return entry.second.address == instance.address;
+    });
+    gateways_[instance.id] = instance;
   }
+  std::erase_if(gateways_, [this](const auto& entry) {
+    return entry.first != self_.id && entry.second.address == self_.address;
+  });
   RegisterIfNeeded();
   forwarder_.SetGatewayCount(gateways_.size());
   // If the list arrives too late, following has already started.
--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersPlatform/gateway_peers_test.cc
@@ -121,6 +121,23 @@
   BOOST_TEST(RunUntil([&] { return table_of("other").has_value(); }));
 }
 
+// Guards against a gateway that follows itself, because its VM got the address
+// of a removed one, whose record remains.
+BOOST_FIXTURE_TEST_CASE(a_gateway_at_a_used_address_follows_another_one,
+                        FleetFixture) {
+  Other replacement(*this, "gateway-2");
+  store.Put(kGatewaysTopic, "gateway-0",
+            gateway::SerializeGatewayInstance(
+                {"gateway-0", 1, replacement.settings.peer_address, "a"}));
+  const std::size_t before = store.calls("log-newest");
+  BOOST_REQUIRE(replacement.process.Start());
+  HttpClient replacement_ready(loop, replacement.settings.ready_address,
+                               HttpClientOptions{});
+  BOOST_REQUIRE(RunUntil([&] { return Ready(replacement_ready); }));
+  // The list of gateways; all else comes from the gateway under test.
+  BOOST_TEST(store.calls("log-newest") - before == 1U);
+}
+
 struct EarlierProcessCase {
   const char* name;
   bool late;                 // its record is appended after the later process's
