Give the registration of a gateway a timer of its own

What callers see: a gateway that gets SIGTERM while an answer of the store to its registration is outstanding never ends the requests that an endpoint leaves unanswered; it runs until it is killed, and their connections end without an answer.

Cause: the retry of the registration and the end of stop_grace used one timer, so the retry, which does nothing in a stopping process, cancelled the end.

Evidence: stop_responds_while_the_store_loses_answers failed before the change (not stopped after 6 s); usersplatform_test passes with it.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -52,6 +52,7 @@
       peer_request_timer_(loop),
       follow_timer_(loop),
       gateways_timer_(loop),
+      register_timer_(loop),
       stop_timer_(loop),
       give_up_timer_(loop) {}
 
@@ -143,7 +144,7 @@
                 std::nullopt, [this](AppendOutcome outcome) {
                   if (outcome == AppendOutcome::kDone) return;
                   LogInfo("router_not_registered", {{"again", "true"}});
-                  RunAfter(give_up_timer_, kReportInterval, [this] {
+                  RunAfter(register_timer_, kReportInterval, [this] {
                     if (!stopping_) RegisterGateway();
                   });
                 });
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -175,6 +175,7 @@
   boost::asio::steady_timer peer_request_timer_;
   boost::asio::steady_timer follow_timer_;
   boost::asio::steady_timer gateways_timer_;
+  boost::asio::steady_timer register_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer give_up_timer_;
 
--- a/Tests/UsersPlatform/gateway_path_test.cc
+++ b/Tests/UsersPlatform/gateway_path_test.cc
@@ -283,6 +283,39 @@
   BOOST_TEST(outcome->response->status == 502U);
 }
 
+// Guards against a stop that never ends an unanswered request, because a lost
+// answer of the store to the gateway's registration set the same timer.
+BOOST_FIXTURE_TEST_CASE(stop_responds_while_the_store_loses_answers,
+                        GatewayFixture) {
+  for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
+    endpoint->set_fault(EndpointFault::kSilent);
+  }
+  store.set_fault(StoreFault::kLoseAppends);
+  const auto settings = Settings(addresses, "gateway-0", store_address);
+  StoreClient client(loop, settings.store_address, Milliseconds(1'000));
+  gateway::Gateway stopping(
+      loop, settings, client, dialect,
+      {kConfigKey, ParseOperatorConfig, ParseRegistryEntry});
+  BOOST_REQUIRE(stopping.Start());
+  HttpClient stopping_front(loop, settings.front_address, HttpClientOptions{});
+  HttpClient stopping_ready(loop, settings.ready_address, HttpClientOptions{});
+  BOOST_REQUIRE(
+      RunUntil([&] { return Ready(stopping_ready); }, Milliseconds(900)));
+  HttpRequest request = Request("/slow/write/x", "id-hung");
+  request.headers[2].second = "9000";
+  std::optional<HttpClient::Outcome> outcome;
+  stopping_front.Send(
+      request, Milliseconds(9'000),
+      [&](HttpClient::Outcome result) { outcome = std::move(result); });
+  BOOST_REQUIRE(RunUntil([this] { return Runs("id-hung") == 1; }));
+  bool stopped = false;
+  stopping.Stop([&] { stopped = true; });
+  BOOST_TEST(RunUntil([&] { return stopped; }));
+  BOOST_REQUIRE(RunUntil([&] { return outcome.has_value(); }));
+  BOOST_REQUIRE_MESSAGE(outcome->response, outcome->error.detail);
+  BOOST_TEST(outcome->response->status == 502U);
+}
+
 struct StartCase {
   const char* name;
   bool reader_is_gone;
