Record the epochs of refused transfers at the source

Cause: each refusal makes the source's primary use the next epoch, and the target records the refused one. The source's endpoint recorded only the new target, so after a failover the next primary began with the lowest epoch again and gave the partition to a third endpoint. That one's transfer to the first target met the record of a higher, refused epoch, which reads there as "the partition has moved on".

Change: the source's endpoint records the refused epoch with the new target, before the transfer is sent.

--- a/Source/core/endpoint_primary_grants.cc
+++ b/Source/core/endpoint_primary_grants.cc
@@ -303,7 +303,7 @@
   for (const auto& record : response.released()) {
     const PartitionId partition = record.partition();
     const Fence epoch = FromProto(record.epoch());
-    transfers_.MarkTargetRecorded(partition, record.target_endpoint());
+    transfers_.MarkTargetRecorded(partition, epoch, record.target_endpoint());
     if (unrecorded_refusals_.contains(partition) &&
         epoch >= FromProto(history_[partition].epoch())) {
       unrecorded_refusals_.erase(partition);
--- a/Source/core/endpoint_primary_loss.cc
+++ b/Source/core/endpoint_primary_loss.cc
@@ -208,7 +208,9 @@
   held_.clear();
   unrecorded_refusals_.clear();
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
-    transfers_.MarkTargetRecorded(partition, outgoing.target);
+    transfers_.MarkTargetRecorded(
+        partition, {outgoing.epoch.offset, outgoing.epoch.counter - 1},
+        outgoing.target);
   }
   context_->MarkRoutingDirty();
 }
--- a/Source/core/endpoint_primary_transfers.cc
+++ b/Source/core/endpoint_primary_transfers.cc
@@ -141,7 +141,15 @@
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
     if (outgoing.target_recorded || outgoing.target.empty()) continue;
     schema::ReleasedPartition& record = history_[partition];
-    if (record.target_endpoint() == outgoing.target) continue;
+    // Names the refused epoch, so that a later primary does not use it again.
+    const Fence refused{outgoing.epoch.offset, outgoing.epoch.counter - 1};
+    const Fence recorded = FromProto(record.epoch());
+    if (recorded > refused ||
+        (recorded == refused && record.target_endpoint() == outgoing.target)) {
+      continue;
+    }
+    record.set_partition(partition);
+    *record.mutable_epoch() = ToProto(refused);
     record.set_target_endpoint(outgoing.target);
     has_unsent_changes_ = true;
   }
--- a/Source/core/transfer_sender.cc
+++ b/Source/core/transfer_sender.cc
@@ -127,9 +127,11 @@
 }
 
 void TransferSender::MarkTargetRecorded(PartitionId partition,
+                                        const Fence& epoch,
                                         const EndpointId& target) {
   const auto found = outgoing_.find(partition);
-  if (found != outgoing_.end() && found->second.target == target) {
+  if (found != outgoing_.end() && found->second.target == target &&
+      found->second.epoch == epoch.Next()) {
     found->second.target_recorded = true;
   }
 }
--- a/Source/core/transfer_sender.h
+++ b/Source/core/transfer_sender.h
@@ -39,9 +39,10 @@
 
   ReplyResult OnReply(const schema::TransferReply& reply);
 
-  // Marks the target as recorded by the source endpoint, if it is still the
-  // current one.
-  void MarkTargetRecorded(PartitionId partition, const EndpointId& target);
+  // Marks the target as recorded by the source endpoint, with this epoch, if it
+  // is still the current one and the epoch is the one before the transfer's.
+  void MarkTargetRecorded(PartitionId partition, const Fence& epoch,
+                          const EndpointId& target);
   // Marks the partition as not to be sent before its target is recorded.
   void RequireTargetRecorded(PartitionId partition);
 
--- a/Tests/Core/endpoint_primary_test.cc
+++ b/Tests/Core/endpoint_primary_test.cc
@@ -84,6 +84,48 @@
   BOOST_CHECK(targets == std::vector<EndpointId>{"e3"});
 }
 
+// Guards against a lost partition: the epochs of refused transfers were used
+// again by a later primary, which the target's record of them had overtaken.
+BOOST_AUTO_TEST_CASE(EpochsOfRefusedTransfersAreNotUsedAgain) {
+  FakeControlContext context;
+  LeaseHolder holder("e1", kIncarnation, true);
+  context.NextGrantSequence();
+  schema::GrantRequest request = MakeFailoverRequest(holder);
+  const auto response = holder.OnGrant(request, context.time, 0);
+  EndpointPrimary primary = EndpointPrimary::AfterFailover(
+      &context, "lookup", response, context.time);
+  primary.OnTick();
+  context.actions.clear();
+  context.targets = {{0, "e2"}};
+  primary.OnTransferReply(MakeRefusal(context.known_term));
+  for (int i = 0; i < 5; ++i) {
+    context.time += Milliseconds(150);
+    primary.OnTick();
+    DeliverActions(&context, &holder, &primary);
+  }
+
+  schema::GrantRequest failover;
+  *failover.mutable_view() = request.view();
+  *failover.mutable_view()->mutable_primary() = ToProto(RouterRef{"r2", 2});
+  *failover.mutable_view()->mutable_term() = ToProto(Fence{10, 2});
+  *failover.mutable_previous_term() = request.view().term();
+  failover.set_sequence(1);
+  context.router = {"r2", 2};
+  EndpointPrimary later = EndpointPrimary::AfterFailover(
+      &context, "lookup", holder.OnGrant(failover, context.time, 0),
+      context.time);
+  context.actions.clear();
+  later.OnTick();
+  std::vector<Fence> epochs;
+  for (const OwnershipAction& action : context.actions) {
+    const auto* send = std::get_if<SendPeerMessage>(&action);
+    if (send == nullptr || !send->message.has_transfer()) continue;
+    epochs.push_back(FromProto(send->message.transfer().partitions(0).epoch()));
+  }
+  BOOST_REQUIRE_EQUAL(epochs.size(), 1U);
+  BOOST_CHECK(epochs.front() == (Fence{11, 3}));
+}
+
 // Guards against two owners: the old primary of the target refuses a transfer
 // that its successor has accepted.
 BOOST_AUTO_TEST_CASE(RefusalOfAnOlderViewIsIgnored) {
