--- a/Source/core/endpoint_primary_grants.cc
+++ b/Source/core/endpoint_primary_grants.cc
@@ -95,8 +95,13 @@
   const Fence proposed = proposed_ ? FromProto(proposed_->term()) : Fence{};
   const Fence own_term = std::max(Term(), proposed);
   if (current < own_term) return false;
-  // The backup that failed over has stood down since.
-  if (current <= consented_through_) return false;
+  // The router that failed over has stood down since. Another one's promise
+  // proves nothing: both may have been backup in views of the same term.
+  const auto promised =
+      promised_terms_.find(FromProto(response.view().primary()));
+  if (promised != promised_terms_.end() && current <= promised->second) {
+    return false;
+  }
   // A view that the endpoint never accepted gives way only to a higher one.
   if (phase_ == Phase::kBinding && current.offset < Term().offset) return false;
   Demote(false);
@@ -105,6 +110,8 @@
 
 void EndpointPrimary::OnGrantResponse(const schema::GrantResponse& response) {
   if (demoted_ || response.sequence() <= last_response_sequence_) return;
+  // Another endpoint serves at the address, which says nothing of this one.
+  if (response.view().endpoint() != endpoint()) return;
   last_response_sequence_ = response.sequence();
   if (DemoteIfSuperseded(response)) return;
   const bool was_suspected = Suspected();
@@ -296,7 +303,7 @@
   for (const auto& record : response.released()) {
     const PartitionId partition = record.partition();
     const Fence epoch = FromProto(record.epoch());
-    transfers_.MarkTargetRecorded(partition, record.target_endpoint());
+    transfers_.MarkTargetRecorded(partition, epoch, record.target_endpoint());
     if (unrecorded_refusals_.contains(partition) &&
         epoch >= FromProto(history_[partition].epoch())) {
       unrecorded_refusals_.erase(partition);
--- a/Source/core/endpoint_primary_loss.cc
+++ b/Source/core/endpoint_primary_loss.cc
@@ -110,6 +110,8 @@
                                        const schema::StandDownReply& reply) {
   if (demoted_ || !reply.promised()) return;
   const Fence promised_term = FromProto(reply.term());
+  Fence& known = promised_terms_[from];
+  known = std::max(known, promised_term);
   for (Consent& consent : consents_) {
     if (consent.router == from && promised_term >= consent.term) {
       consent.given = true;
@@ -206,7 +208,9 @@
   held_.clear();
   unrecorded_refusals_.clear();
   for (const auto& [partition, outgoing] : transfers_.outgoing()) {
-    transfers_.MarkTargetRecorded(partition, outgoing.target);
+    transfers_.MarkTargetRecorded(
+        partition, {outgoing.epoch.offset, outgoing.epoch.counter - 1},
+        outgoing.target);
   }
   context_->MarkRoutingDirty();
 }
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -52,6 +52,7 @@
       peer_request_timer_(loop),
       follow_timer_(loop),
       gateways_timer_(loop),
+      register_timer_(loop),
       stop_timer_(loop),
       give_up_timer_(loop) {}
 
@@ -122,7 +123,6 @@
                     {"data_centre", settings_.data_centre},
                     {"store", settings_.store_address}});
   FollowLogs();
-  RegisterGateway();
   Tick();
   JoinElection();
   ReportKeyLoad();
@@ -139,16 +139,34 @@
 }
 
 void Gateway::Impl::RegisterGateway() {
+  registering_ = true;
   store_.Append(Log::kGateways, self_.id, SerializeGatewayInstance(self_),
                 std::nullopt, [this](AppendOutcome outcome) {
                   if (outcome == AppendOutcome::kDone) return;
                   LogInfo("router_not_registered", {{"again", "true"}});
-                  RunAfter(give_up_timer_, kReportInterval, [this] {
+                  RunAfter(register_timer_, kReportInterval, [this] {
                     if (!stopping_) RegisterGateway();
                   });
                 });
 }
 
+void Gateway::Impl::RegisterIfNeeded() {
+  if (stopping_) return;
+  const auto newest = gateways_.find(self_.id);
+  const bool earlier = newest == gateways_.end() ||
+                       newest->second.incarnation < self_.incarnation;
+  if (!registering_ && !earlier) {
+    // The time of day has jumped back since the earlier process started.
+    self_.incarnation = newest->second.incarnation + 1;
+    LogInfo("incarnation_raised",
+            {{"router", self_.id},
+             {"incarnation", std::to_string(self_.incarnation)}});
+  } else if (!earlier) {
+    return;
+  }
+  RegisterGateway();
+}
+
 void Gateway::Impl::Tick() {
   const BootTime now = BootClock::now();
   OnRegistryChanges(
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -73,6 +73,7 @@
   gateways_follower_->Resume();
   RunAfter(follow_timer_, kGatewaysTimeout, [this] {
     if (gateways_known_) return;
+    RegisterGateway();
     ReadDirectly("list of gateways not read in time");
     FollowReader();
   });
@@ -274,18 +275,31 @@
 }
 
 void Gateway::Impl::OnGatewaysPage(const LogPage& page) {
-  for (const KeyedRecord& record : page.records) {
+  std::vector<KeyedRecord> records = page.records;
+  std::ranges::sort(records, std::less{}, &KeyedRecord::offset);
+  for (const KeyedRecord& record : records) {
     if (!record.value) continue;
     const auto gateway = ParseGatewayInstance(record.key, *record.value);
-    if (gateway) {
-      rejected_records_.Remove(Log::kGateways, record.key);
-      gateways_[gateway.value().id] = gateway.value();
-    } else if (rejected_records_.Add(Log::kGateways, record.key)) {
-      LogEvent(EventLevel::kWarning, "gateway_record_rejected",
-               static_cast<unsigned>(gateway.error().code),
-               {{"router", record.key}, {"detail", gateway.error().detail}});
+    if (!gateway) {
+      if (rejected_records_.Add(Log::kGateways, record.key)) {
+        LogEvent(EventLevel::kWarning, "gateway_record_rejected",
+                 static_cast<unsigned>(gateway.error().code),
+                 {{"router", record.key}, {"detail", gateway.error().detail}});
+      }
+      continue;
     }
+    rejected_records_.Remove(Log::kGateways, record.key);
+    const GatewayInstance& instance = gateway.value();
+    // The last process to register at an address is the one that has it.
+    std::erase_if(gateways_, [&](const auto& entry) {
+      return entry.second.address == instance.address;
+    });
+    gateways_[instance.id] = instance;
   }
+  std::erase_if(gateways_, [this](const auto& entry) {
+    return entry.first != self_.id && entry.second.address == self_.address;
+  });
+  RegisterIfNeeded();
   forwarder_.SetGatewayCount(gateways_.size());
   // If the list arrives too late, following has already started.
   if (!std::exchange(gateways_known_, true) && !reads_store_) FollowReader();
