Lose the responses to an earlier process of a simulated gateway

A response was delivered to the process that ran when it was made. After a restart of the gateway, call numbers start anew, so the new process took the response to another call as its own: a refusal by another endpoint, for example, proved the end of a holder that was up.

--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -261,10 +261,10 @@
     gateway.keeper->OnEndpoints(Registered(), now_);
   }
 
-  // Runs the function after the delay if the same process is still up.
-  void Deliver(std::size_t index, Ms delay,
+  // Runs the function after the delay if this process of the gateway is still
+  // up.
+  void Deliver(std::size_t index, std::uint64_t incarnation, Ms delay,
                std::function<void(LeaseKeeper&)> run) {
-    const auto incarnation = gateways_[index].incarnation;
     After(delay, [this, index, incarnation, run = std::move(run)] {
       Gateway& target = gateways_[index];
       if (target.up && target.incarnation == incarnation) run(*target.keeper);
@@ -286,8 +286,10 @@
   }
 
   void DoAppend(std::size_t index, const AppendTable& append) {
-    const auto answer = [this, index](Ms delay, AppendOutcome outcome) {
-      Deliver(index, delay, [this, outcome](LeaseKeeper& keeper) {
+    const auto answer = [this, index,
+                         incarnation = gateways_[index].incarnation](
+                            Ms delay, AppendOutcome outcome) {
+      Deliver(index, incarnation, delay, [this, outcome](LeaseKeeper& keeper) {
         keeper.OnAppendResult(outcome, now_);
       });
     };
@@ -329,22 +331,25 @@
     return endpoint.up && endpoint.holder().ref == process;
   }
 
-  void Answer(std::size_t index, std::uint64_t call, CallOutcome outcome,
-              Ms delay) {
-    Deliver(index, delay, [this, call, outcome](LeaseKeeper& keeper) {
-      keeper.OnCallResult(call, {outcome, "handover"}, now_);
-    });
+  // Responds to the process of the gateway that sent the call.
+  void Answer(std::size_t index, std::uint64_t incarnation, std::uint64_t call,
+              CallOutcome outcome, Ms delay) {
+    Deliver(index, incarnation, delay,
+            [this, call, outcome](LeaseKeeper& keeper) {
+              keeper.OnCallResult(call, {outcome, "handover"}, now_);
+            });
   }
 
   void DoOpen(std::size_t index, const OpenConnection& open) {
-    const auto report = [this, index, id = open.id](Ms delay,
-                                                    std::uint64_t connection) {
-      Deliver(index, delay, [this, id, connection](LeaseKeeper& keeper) {
-        keeper.OnConnection(id, connection, now_);
-      });
+    const auto incarnation = gateways_[index].incarnation;
+    const auto report = [this, index, incarnation, id = open.id](
+                            Ms delay, std::uint64_t connection) {
+      Deliver(index, incarnation, delay,
+              [this, id, connection](LeaseKeeper& keeper) {
+                keeper.OnConnection(id, connection, now_);
+              });
     };
     if (!Reachable(index, open.to)) return report(Between(1, 250), 0);
-    const auto incarnation = gateways_[index].incarnation;
     After(Between(1, 50), [this, index, open, report, incarnation] {
       Gateway& gateway = gateways_[index];
       if (!Reachable(index, open.to) || gateway.incarnation != incarnation) {
@@ -394,25 +399,26 @@
   }
 
   void DoGrant(std::size_t index, const GrantCall& grant) {
+    const auto incarnation = gateways_[index].incarnation;
     const EndpointRef process = ProcessOf(index, grant);
     if (process.empty()) {
-      return Answer(index, grant.id, CallOutcome::kNotSent, Ms(1));
+      return Answer(index, incarnation, grant.id, CallOutcome::kNotSent, Ms(1));
     }
     if (!Reachable(index, grant.to) || !Runs(EndpointAt(grant.to), process)) {
       CloseConnection(index, grant);
       // A network partition may also drop calls that were sent.
       return Answer(
-          index, grant.id,
+          index, incarnation, grant.id,
           Chance(0.5) ? CallOutcome::kNotSent : CallOutcome::kUnanswered,
           LeaseKeeper::kCallTimeout);
     }
     const bool late = Chance(late_call_rate_);
     // A call can be in transit until its connection is reset.
     const Ms transit = Between(1, 350);
-    After(transit, [this, index, grant, late, process] {
+    After(transit, [this, index, incarnation, grant, late, process] {
       const BootTime arrival = now_;
       After(late ? Between(2'000, 12'000) : Ms(0),
-            [this, index, grant, late, arrival, process] {
+            [this, index, incarnation, grant, late, arrival, process] {
               SimulatedEndpoint& endpoint = EndpointAt(grant.to);
               // A call is lost when the process ends.
               const auto outcome = Runs(endpoint, process)
@@ -424,35 +430,36 @@
               if (outcome == CallOutcome::kUnanswered || Chance(kCloseRate)) {
                 CloseConnection(index, grant);
               }
-              Answer(index, grant.id, outcome, Ms(1));
+              Answer(index, incarnation, grant.id, outcome, Ms(1));
             });
     });
     if (late) {
       CloseConnection(index, grant);
-      Answer(index, grant.id, CallOutcome::kUnanswered,
+      Answer(index, incarnation, grant.id, CallOutcome::kUnanswered,
              LeaseKeeper::kCallTimeout);
     }
   }
 
   void DoRelease(std::size_t index, const ReleaseCall& release) {
+    const auto incarnation = gateways_[index].incarnation;
     if (!Reachable(index, release.from)) {
-      return Answer(index, release.id, CallOutcome::kUnanswered,
+      return Answer(index, incarnation, release.id, CallOutcome::kUnanswered,
                     LeaseKeeper::kReleaseTimeout);
     }
     const bool late = Chance(late_call_rate_);
     const EndpointRef target = EndpointAt(release.from).holder().ref;
     // Running requests on the keys have to finish first.
     After(late ? Between(2'000, 12'000) : Between(1, 1'000),
-          [this, index, release, late, target] {
+          [this, index, incarnation, release, late, target] {
             SimulatedEndpoint& endpoint = EndpointAt(release.from);
             // A call is lost when the process ends.
             const auto outcome = Runs(endpoint, target)
                                      ? endpoint.Release(release)
                                      : CallOutcome::kUnanswered;
-            if (!late) Answer(index, release.id, outcome, Ms(1));
+            if (!late) Answer(index, incarnation, release.id, outcome, Ms(1));
           });
     if (late) {
-      Answer(index, release.id, CallOutcome::kUnanswered,
+      Answer(index, incarnation, release.id, CallOutcome::kUnanswered,
              LeaseKeeper::kReleaseTimeout);
     }
   }
@@ -471,7 +478,7 @@
       other.keeper->OnTable(publish.table, now_);
       if (other.keeper->table().version < publish.table.version) continue;
       const Ms since = other.keeper->SinceRenewal(now_);
-      Deliver(index, Ms(20),
+      Deliver(index, gateways_[index].incarnation, Ms(20),
               [this, renewer, since,
                version = publish.table.version](LeaseKeeper& keeper) {
                 keeper.OnAdopted(renewer, version, since, now_);
