Test that a renewer renews leases whose fence was raised

This test fails: it shows a fault that is still there. A new leader, and a lost connection, set a lease to "not granted" until the next record confirms it. Renewers renew only granted leases. If the store and the leader are lost in between, nobody renews leases whose holders are up.

--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -436,6 +436,20 @@
   BOOST_TEST(released);
 }
 
+// A renewer let leases expire in a store outage, because the leader had raised
+// their fences, or had just taken over, before the outage.
+BOOST_AUTO_TEST_CASE(a_renewer_renews_a_lease_whose_fence_was_raised) {
+  LeaseKeeper keeper("service", kOther, kStart - std::chrono::minutes(5));
+  LeaseTable table = MakeTable(true);
+  table.ranges[0].granted = false;
+  table.ranges[0].previous = table.ranges[0].owner;
+  keeper.OnTable(table, kStart);
+  keeper.OnLogEnd(5, kStart);
+  keeper.OnStoreReachability(false, kStart);
+  const auto grants = ActionsOf<GrantCall>(keeper.Tick(kStart + Ms(1'500)));
+  BOOST_TEST(grants.size() == 1U);
+}
+
 struct AppendCase {
   const char* name;
   AppendOutcome outcome;
