Test that higher fences don't prolong the wait for other leases

This test fails: it shows a fault that is still there. The wait for a gateway that doesn't respond counts from the adoption of the last table. Each higher fence is a new table, so the wait starts again whenever a lease loses its connection, and the range has no holder meanwhile. If the connection is lost only once, the range is granted in time.

--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -450,6 +450,50 @@
   BOOST_TEST(grants.size() == 1U);
 }
 
+// Keys stayed without a holder for as long as other leases lost their
+// connections: each higher fence is a new table, and started the wait again.
+BOOST_AUTO_TEST_CASE(higher_fences_of_other_ranges_do_not_prolong_a_wait) {
+  const LeaseHolder third{{"third", 1}, "third:1"};
+  LeaseKeeper keeper("service", kLeader, kStart - std::chrono::minutes(5));
+  keeper.OnEndpoints({{kNew, 2}, {third, 2}}, kStart - std::chrono::minutes(1));
+  LeaseTable table = MakeTable(false);
+  table.ranges = {{{0, 32767}, kNew, 5, false, kOld, Ms(0)},
+                  {{32768, 65535}, third, 4, true, {}, Ms(0)}};
+  keeper.OnTable(table, kStart);
+  keeper.OnLogEnd(5, kStart);
+  keeper.OnElection(true);
+  const Ms latest = LeaseKeeper::kMaxViewAge + kLongestLease + Ms(1'000);
+  std::optional<Ms> granted;
+  std::uint64_t connection = 0;
+  Ms next_loss{0};
+  for (Ms passed{0}; passed < Ms(60'000) && !granted; passed += Ms(20)) {
+    const BootTime now = kStart + passed;
+    keeper.OnLogEnd(keeper.log_end(), now);
+    for (const LeaseAction& action : keeper.Tick(now)) {
+      if (std::holds_alternative<AppendTable>(action)) {
+        keeper.OnAppendResult(AppendOutcome::kDone, now);
+      } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+        keeper.OnConnection(open->id, ++connection, now);
+      } else if (const auto* release = std::get_if<ReleaseCall>(&action)) {
+        keeper.OnCallResult(release->id, {}, now);  // unanswered
+      } else if (const auto* grant = std::get_if<GrantCall>(&action)) {
+        if (grant->to == kNew) {
+          granted = passed;
+          break;
+        }
+        // "third" closes its connection once in ten seconds.
+        const bool lost = passed >= next_loss;
+        if (lost) next_loss = passed + Ms(10'000);
+        keeper.OnCallResult(
+            grant->id, {lost ? CallOutcome::kNotSent : CallOutcome::kDone, ""},
+            now);
+      }
+    }
+  }
+  BOOST_REQUIRE(granted.has_value());
+  BOOST_TEST(granted->count() <= latest.count());
+}
+
 struct AppendCase {
   const char* name;
   AppendOutcome outcome;
