--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -494,6 +494,23 @@
   BOOST_TEST(granted->count() <= latest.count());
 }
 
+// A leader that had lost the store asked for a read at each tick, to confirm
+// its view after it had connected to a new holder.
+BOOST_AUTO_TEST_CASE(a_leader_without_the_store_asks_for_no_reads) {
+  LeaseKeeper keeper = MakeKeeper(kLeader, false);
+  keeper.OnElection(true);
+  keeper.OnAddresses({{kOld.address, {{"other", 2}, false}}});
+  keeper.OnStoreReachability(false, kStart);
+  for (const auto& open : ActionsOf<OpenConnection>(keeper.Tick(kStart))) {
+    keeper.OnConnection(open.id, kConnection, kStart + Ms(20));
+  }
+  std::size_t reads = 0;
+  for (Ms passed{20}; passed < Ms(5'000); passed += Ms(20)) {
+    reads += ActionsOf<RereadLog>(keeper.Tick(kStart + passed)).size();
+  }
+  BOOST_TEST(reads == 0U);
+}
+
 struct AppendCase {
   const char* name;
   AppendOutcome outcome;
