--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -172,9 +172,11 @@
     registry_[endpoint].holder = endpoints_[endpoint]->holder();
   }
 
+  // An id may also return after a process under another one.
   void RestartUnderSameId(std::size_t endpoint) {
-    endpoints_[endpoint]->Restart(
-        {endpoints_[endpoint]->holder().ref.id, ++incarnation_});
+    const EndpointId id = Chance(0.5) ? "e" + std::to_string(endpoint)
+                                      : endpoints_[endpoint]->holder().ref.id;
+    endpoints_[endpoint]->Restart({id, ++incarnation_});
   }
 
   void RestartUnderOtherId(std::size_t endpoint) {
