Test that a holder that counts as ended gets no first grant

This test fails: it shows a fault that is still there. A leader sends the first grant also to a holder whose address the registry lists for a later endpoint of another service. If a process under the holder's id has started there since, it takes the grant; then the same entry proves that the holder has ended, and the leader grants the keys to another endpoint without a release or a wait.

--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -511,6 +511,39 @@
   BOOST_TEST(reads == 0U);
 }
 
+// A leader sent a first grant to a holder whose address the registry listed for
+// a later endpoint of another service. A process under the holder's id had
+// started there since and took it. Then the leader skipped the release and the
+// wait, because the registry said that the holder had ended.
+BOOST_AUTO_TEST_CASE(a_holder_that_counts_as_ended_gets_no_first_grant) {
+  const LeaseHolder third{{"third", 1}, "third:1"};
+  LeaseKeeper keeper = MakeKeeper(kLeader, false);
+  keeper.OnElection(true);
+  // "new" is gone from the registry.
+  keeper.OnEndpoints({{third, 2}}, kStart);
+  keeper.OnAddresses({{kNew.address, {{"other", 2}, false}}});
+  bool taken = false;
+  std::uint64_t connection = 0;
+  for (Ms passed{0}; passed < Ms(2'000); passed += Ms(20)) {
+    const BootTime now = kStart + passed;
+    keeper.OnLogEnd(keeper.log_end(), now);
+    for (const LeaseAction& action : keeper.Tick(now)) {
+      if (std::holds_alternative<AppendTable>(action)) {
+        keeper.OnAppendResult(AppendOutcome::kDone, now);
+      } else if (const auto* open = std::get_if<OpenConnection>(&action)) {
+        keeper.OnConnection(open->id, ++connection, now);
+      } else if (const auto* release = std::get_if<ReleaseCall>(&action)) {
+        if (release->from == kNew) taken = false;
+        keeper.OnCallResult(release->id, {CallOutcome::kDone, ""}, now);
+      } else if (const auto* grant = std::get_if<GrantCall>(&action)) {
+        if (grant->to == kNew) taken = true;
+        if (grant->to == third) BOOST_TEST(!taken);
+        keeper.OnCallResult(grant->id, {CallOutcome::kDone, ""}, now);
+      }
+    }
+  }
+}
+
 struct AppendCase {
   const char* name;
   AppendOutcome outcome;
