Forget that a holder has ended when another leader's table is adopted

What callers would have seen: two endpoints with the same keys. A process may start again under the id of an ended one, and another leader may grant it keys. The first leader still took the refusal of an endpoint between the two as proof that the holder had ended: it moved the keys without a release and without a wait. It also sent first grants to owners that the registry counts as ended.

Cause: the proof that a holder has ended says nothing about later grants, but had no end.

Change: the proof is dropped when another leader's table is adopted, and an owner that has ended gets neither connections nor grants; releases are still sent.

--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -124,6 +124,8 @@
   if (table.version <= table_.version) return;
   table.service = service_;
   KeepProgressOfParts(table);
+  // Another leader may have granted keys to a later process under the same id.
+  if (table.leader != self_) ended_.clear();
   table_ = std::move(table);
   table_adopted_at_ = now;
   record_lost_ = false;
@@ -457,11 +459,15 @@
                             std::vector<LeaseAction>& actions) {
   Progress& progress = ProgressOf(lease);
   if (progress.granted || progress.refused || NeedsHigherFence(lease)) return;
-  if (progress.connection == 0) Open(lease, progress, now, actions);
+  // The next plan assigns the keys of an owner that has ended.
+  const bool owner_ended = IsSuperseded(lease.owner);
+  if (progress.connection == 0 && !owner_ended) {
+    Open(lease, progress, now, actions);
+  }
   const bool releasing = progress.call != 0 && progress.releasing;
   if ((progress.call != 0 && !releasing) || now < progress.next_call) return;
   if (PreviousLeaseEnded(lease, progress, now)) {
-    if (progress.connection == 0) return;
+    if (progress.connection == 0 || owner_ended) return;
     if (confirmed_at_ < progress.connected_at) {
       actions.emplace_back(RereadLog{});
       return;
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -303,7 +303,8 @@
     BootTime until;  // treated as unreachable until then
   };
   std::map<EndpointRef, Failures> failures_;
-  // Holders at whose address another endpoint responded.
+  // Holders at whose address another endpoint responded, since this gateway is
+  // the leader. They get no grants.
   std::vector<LeaseHolder> ended_;
   bool many_unreachable_ = false;
   std::map<RouterId, Adoption> adoptions_;
