Ask for no read of the log while the store is unreachable

A leader with a connection newer than its view asked for a read at each tick, 249 times in 5 s, although it knew that the store was unreachable. The test that showed it in review passes now.

--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -469,7 +469,7 @@
   if (PreviousLeaseEnded(lease, progress, now)) {
     if (progress.connection == 0 || owner_ended) return;
     if (confirmed_at_ < progress.connected_at) {
-      actions.emplace_back(RereadLog{});
+      if (store_reachable_) actions.emplace_back(RereadLog{});
       return;
     }
     // The response to a pending release is no longer needed.
