Count the wait for old leases from the fence of the move

What callers saw: keys of an unresponsive endpoint stayed unserved as long as the table kept changing for other leases: each new table started the wait of up to 20.6 s again.

Change: the wait counts from the first table with the fence of the move, and a renewer that adopted any table from that one on has adopted the move. Its view can't be confirmed later than that table was appended.

--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -128,6 +128,13 @@
   if (table.leader != self_) ended_.clear();
   table_ = std::move(table);
   table_adopted_at_ = now;
+  for (const RangeLease& lease : table_.ranges) {
+    fence_adopted_at_.try_emplace(lease.fence, now);
+  }
+  std::erase_if(fence_adopted_at_, [this](const auto& entry) {
+    return std::ranges::find(table_.ranges, entry.first, &RangeLease::fence) ==
+           table_.ranges.end();
+  });
   record_lost_ = false;
   // Ranges that are still in the table keep their progress.
   std::erase_if(progress_, [this](const auto& entry) {
@@ -404,18 +411,19 @@
   adoptions_[gateway.id] = {gateway.incarnation, version, now - since};
 }
 
-BootTime LeaseKeeper::PreviousLeaseEnd(const LeaseHolder& previous) const {
+BootTime LeaseKeeper::PreviousLeaseEnd(const RangeLease& lease) const {
   // An earlier process of this gateway may have sent grants until it ended.
   BootTime end = std::max(started_ + kCallTimeout + MaxLeaseTime(),
-                          OwnGrantsEnd(previous.ref));
+                          OwnGrantsEnd(lease.previous.ref));
   for (const GatewayInstance& renewer : table_.renewers) {
     if (renewer == self_) continue;
     const auto adoption = adoptions_.find(renewer.id);
     const bool adopted = adoption != adoptions_.end() &&
                          adoption->second.incarnation >= renewer.incarnation &&
-                         adoption->second.version >= table_.version;
-    const BootTime last = adopted ? adoption->second.last_renewal
-                                  : table_adopted_at_ + kMaxViewAge;
+                         adoption->second.version >= lease.fence;
+    const BootTime last = adopted
+                              ? adoption->second.last_renewal
+                              : fence_adopted_at_.at(lease.fence) + kMaxViewAge;
     end = std::max(end, last + kCallTimeout + MaxLeaseTime());
   }
   return end;
@@ -451,8 +459,7 @@
                                      BootTime now) const {
   return lease.previous.ref.empty() || lease.previous == lease.owner ||
          progress.released || progress.sent || HasEnded(lease.previous) ||
-         !guards_.wait_for_old_leases ||
-         now >= PreviousLeaseEnd(lease.previous);
+         !guards_.wait_for_old_leases || now >= PreviousLeaseEnd(lease);
 }
 
 void LeaseKeeper::MoveRange(const RangeLease& lease, BootTime now,
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -244,7 +244,7 @@
                           BootTime now) const;
   bool IsSuperseded(const LeaseHolder& holder) const;
   bool HasEnded(const LeaseHolder& holder) const;
-  BootTime PreviousLeaseEnd(const LeaseHolder& previous) const;
+  BootTime PreviousLeaseEnd(const RangeLease& lease) const;
   BootTime OwnGrantsEnd(const EndpointRef& endpoint) const;
   void RecordEnd(const LeaseHolder& holder, BootTime now);
   void RecordFailure(const EndpointRef& endpoint, BootTime now);
@@ -269,6 +269,8 @@
   const Guards guards_;
   LeaseTable table_;
   BootTime table_adopted_at_;
+  // By fence in the table: when the first table with it was adopted.
+  std::map<std::uint64_t, BootTime> fence_adopted_at_;
   bool record_lost_ = false;
   std::uint64_t log_end_ = 0;
   bool log_end_known_ = false;
