--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -492,7 +492,9 @@
   if (client == clients_.end() || executed == executed_keys_.end()) {
     return false;
   }
-  const auto idle = client->second->IdleConnections();
+  // The most recently used one is the least likely to have been closed.
+  auto idle = client->second->IdleConnections();
+  std::ranges::reverse(idle);
   const auto connection = std::ranges::find_if(idle, [&](std::uint64_t number) {
     const auto keys = executed->second.find(number);
     if (keys == executed->second.end()) return false;
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -108,7 +108,8 @@
 // fence, and no later process receives the grant. The lease is renewed on the
 // same connection. If the connection is lost, the leader assigns the range a
 // higher fence.
-//// To move a range, the leader releases it at the previous holder with the new
+//
+// To move a range, the leader releases it at the previous holder with the new
 // fence. If the release stays unanswered, the leader waits until every lease
 // that any gateway could have granted has expired. Other gateways send renewals
 // only
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -426,8 +426,9 @@
               const auto outcome = Runs(endpoint, process)
                                        ? endpoint.Grant(grant, arrival, now_)
                                        : CallOutcome::kUnanswered;
-              if (outcome == CallOutcome::kDone)
+              if (outcome == CallOutcome::kDone) {
                 CheckFences(endpoint, grant, arrival);
+              }
               if (late) return;
               if (outcome == CallOutcome::kUnanswered || Chance(kCloseRate)) {
                 CloseConnection(index, grant);
