--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersPlatform/gateway_peers_test.cc
@@ -65,7 +65,7 @@
     if (!result.page) return std::nullopt;
     for (const auto& record : result.page->records) {
       if (record.key != id) continue;
-      auto instance = gateway::ParseGatewayInstance(*record.value);
+      auto instance = gateway::ParseGatewayInstance(id, *record.value);
       BOOST_REQUIRE(instance);
       return instance.value();
     }
