Close inherited sockets in the processes that tests start

What was seen: the soak aborted at the first restart of an endpoint, once a restart ends the endpoint's connections and listens at its address again: bind failed with "Address already in use". The gateways of the soak had inherited the listening socket, and connections that the test closed stayed open as well.

Change: a process that a test starts inherits only the standard streams.

--- a/Tests/Operator/child_process.cc
+++ b/Tests/Operator/child_process.cc
@@ -26,6 +26,8 @@
                                    output_file_.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A socket that the child inherits stays open when the test closes it.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error = posix_spawn(&pid_, binary.c_str(), &actions, nullptr,
                                 argv.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
