--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -191,16 +191,15 @@
     OnCallOutcome(keeper, call, "grant", endpoint, outcome);
   };
   HttpRequest request = dialect_.ToGrant(grant);
-  constexpr Milliseconds kTimeout = LeaseKeeper::kCallTimeout;
   std::visit(Overloaded{[&](const LeaseConnection& connection) {
                           CallClientOf(grant.to.address)
                               .SendOn(connection.number, std::move(request),
-                                      kTimeout, done);
+                                      LeaseKeeper::kCallTimeout, done);
                         },
                         [&](const RequestConnection&) {
                           if (!forwarder_.SendOnRequestConnection(
                                   grant.to, grant.range, std::move(request),
-                                  kTimeout, done)) {
+                                  LeaseKeeper::kCallTimeout, done)) {
                             done({});
                           }
                         }},
