--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -221,8 +221,9 @@
                                                : Pick(kShardKeys));
     });
     keeper.load().Add(keys, now_);
-    if (Chance(kRequestRate))
+    if (Chance(kRequestRate)) {
       SendRequest(index, WatchedKey(Pick(kWatchedKeys)));
+    }
     for (const LeaseAction& action : keeper.Tick(now_)) Do(index, action);
     keeper.TakeEvents();
   }
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -159,8 +159,9 @@
   ++runs_[std::string(FindHeader(request.headers, kId))];
   if (fault_ == EndpointFault::kSilent) return;
   RunAfter(loop_, work_time_, [this, request, respond, born = born_] {
-    if (born == born_ && !gone_.contains(request.connection))
+    if (born == born_ && !gone_.contains(request.connection)) {
       respond(Answer(request));
+    }
   });
 }
 
