Answer the requests in the accept queue when a stop begins

Callers saw connections reset in a planned stop under load, although their requests had arrived: closing the listening socket resets the connections that the system has established and the process has not accepted.

Drain() now accepts them before it closes the socket. The new test fails without it: five of five callers get a reset instead of their answer.

--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -82,6 +82,7 @@
 
  private:
   void Accept();
+  void AcceptPending();
   void OnAccepted(Socket socket);
   void ScheduleSweep();
   void Sweep();
@@ -482,8 +483,22 @@
   ScheduleSweep();
 }
 
+// Accepts the connections that the system has established, whose requests may
+// have arrived: closing the acceptor would reset them.
+void HttpServer::Impl::AcceptPending() {
+  error_code error;
+  acceptor_.cancel(error);
+  acceptor_.non_blocking(true, error);
+  while (!error) {
+    Socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, error);
+    if (!error) OnAccepted(std::move(socket));
+  }
+}
+
 void HttpServer::Impl::Drain(std::function<void()> done) {
   error_code ignored;
+  if (acceptor_.is_open()) AcceptPending();
   acceptor_.close(ignored);
   draining_ = true;
   drain_started_ = Clock::now();
--- /dev/null
+++ b/Tests/Net/http_server_drain_test.cc
@@ -0,0 +1,57 @@
+// Guards against a planned stop that cuts off requests which have just arrived:
+// connections that the system had established, but the server had not accepted,
+// were reset when it closed its listening socket.
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+#include "net/http_server.h"
+
+namespace balsamhall {
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+BOOST_AUTO_TEST_CASE(requests_in_the_accept_queue_are_answered) {
+  constexpr int kCallers = 5;
+  asio::io_context loop(1);
+  HttpServer server(loop, HttpServerOptions{},
+                    [](const HttpRequest&, const HttpServer::Respond& respond) {
+                      respond({200, {}, "whole"});
+                    });
+  const auto port = server.Listen("127.0.0.1:0");
+  BOOST_REQUIRE(port);
+  // The server's loop does not run, so it accepts none of these.
+  asio::io_context callers(1);
+  std::vector<tcp::socket> sockets;
+  const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (int i = 0; i < kCallers; ++i) {
+    tcp::socket& socket = sockets.emplace_back(callers);
+    socket.connect({asio::ip::address_v4::loopback(), port.value()});
+    asio::write(socket, asio::buffer(request));
+  }
+  bool drained = false;
+  server.Drain([&] { drained = true; });
+  loop.run_for(Milliseconds(300));
+  for (tcp::socket& socket : sockets) {
+    std::string answer;
+    boost::system::error_code error;
+    asio::read(socket, asio::dynamic_buffer(answer), error);
+    BOOST_TEST((error == asio::error::eof));
+    BOOST_TEST(answer.starts_with("HTTP/1.1 200"));
+    BOOST_TEST(answer.ends_with("whole"));
+    socket.close(error);
+  }
+  loop.restart();
+  loop.run_for(Milliseconds(1'500));
+  BOOST_TEST(drained);
+}
+
+}  // namespace
+}  // namespace balsamhall
