Follow what endpoints say in responses about themselves

Callers' requests reached endpoints that had said in an answer that they leave (Server-Leaving), and endpoints that had asked for no requests for a time (503 with Retry-After): neither header was read.

A leaving endpoint gets no new requests and no keys; the owner of keys gets requests for them until shortly before the end of 'drain', unless they have moved. Its leaving is reported to the leader by any gateway that sees it, again each second, and the leader reads it in lease answers as well. If all endpoints of a service ask for a pause, callers get 503 at once with the time that is left.

The expected wait of a move away from an owner that still answers is now that of an ordinary move, not the rest of its lease: requests wait for it instead of being rejected.

The line of a request that ends at its route's time-out now has the fields of the others.

--- a/Source/gateway/backend_dialect.h
+++ b/Source/gateway/backend_dialect.h
@@ -26,6 +26,11 @@
   bool not_executed = false;    // certain: it did not and will not run
   bool wrong_endpoint = false;  // the address belongs to another endpoint
   bool lacks_lease = false;     // the endpoint does not hold the key
+  // The endpoint that responded, if it is known to be another one.
+  EndpointId other_endpoint;
+  bool leaving = false;  // the endpoint that responded is leaving
+  // Time for which the endpoint, which rejected the request, wants no others.
+  std::optional<Milliseconds> pause;
   std::optional<ReportedLoad> load;
   bool from_endpoint = false;  // has the mark of a response after execution
 };
--- a/Source/gateway/fleet_view.h
+++ b/Source/gateway/fleet_view.h
@@ -93,6 +93,7 @@
   Milliseconds registry_heartbeat{1'000};
   Milliseconds min_group_ttl{1'000};
   Milliseconds stop_grace{6'000};
+  Milliseconds drain{2'500};  // how long a leaving endpoint takes requests
   Milliseconds max_lease{10'000};
   double retry_ratio = 0.1;
   Milliseconds retry_window{10'000};
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -67,6 +67,11 @@
 
 SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
+WallTime WallNow() {
+  return std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+}
+
 Milliseconds ToMilliseconds(SteadyTime::duration duration) {
   return std::chrono::duration_cast<Milliseconds>(duration);
 }
@@ -83,6 +88,7 @@
     case RejectReason::kEndpointFailing:
       return ResultCode::kNotRunNoConnection;
     case RejectReason::kOverload:
+    case RejectReason::kEndpointsPaused:
       return ResultCode::kNotRunQueueFull;
     case RejectReason::kTooLate:
       break;
@@ -97,9 +103,9 @@
 }  // namespace
 
 struct Forwarder::ServiceState {
-  ServiceState(const GatewaySettings& settings, std::uint32_t seed,
-               double allowance)
-      : scheduler(settings, seed),
+  ServiceState(const GatewaySettings& settings, const EndpointNotices& notices,
+               std::uint32_t seed, double allowance)
+      : scheduler(settings, notices, seed),
         retries(settings.retry_window, settings.retry_ratio, allowance) {}
 
   ServiceId name;
@@ -144,10 +150,12 @@
 
 Forwarder::Forwarder(boost::asio::io_context& loop,
                      const GatewaySettings& settings,
-                     const BackendDialect& dialect, Metrics& metrics)
+                     const BackendDialect& dialect, EndpointNotices& notices,
+                     Metrics& metrics)
     : loop_(loop),
       settings_(settings),
       dialect_(dialect),
+      notices_(notices),
       metrics_(metrics),
       answer_memory_(
           std::make_shared<AnswerMemory>(kMaxUnfinishedResponseBytes)),
@@ -165,7 +173,7 @@
   if (!state) {
     const auto count = gateway_count_ > 0 ? gateway_count_ : kAssumedGateways;
     state = std::make_unique<ServiceState>(
-        settings_,
+        settings_, notices_,
         static_cast<std::uint32_t>(
             std::hash<std::string>{}(settings_.id + name)),
         settings_.retry_slack / static_cast<double>(count));
@@ -419,6 +427,7 @@
   const auto now = Now();
   const BackendResponse backend_response =
       dialect_.ReadBackendResponse(response);
+  RecordNotices(exchange, backend_response, now);
   SteadyTime& newest = newest_responded_[exchange.endpoint.ref];
   newest = std::max(newest, exchange.sent_at);
   Scheduler& scheduler = exchange.service->scheduler;
@@ -470,6 +479,36 @@
          success ? "served" : "endpoint_error");
 }
 
+void Forwarder::RecordNotices(const Exchange& exchange,
+                              const BackendResponse& backend_response,
+                              SteadyTime now) {
+  // An endpoint that rejects a request for another one states only its id.
+  const EndpointRef responder =
+      backend_response.other_endpoint.empty()
+          ? exchange.endpoint.ref
+          : EndpointRef{backend_response.other_endpoint, 0};
+  if (backend_response.pause) {
+    notices_.OnPauseRequested(responder, *backend_response.pause, now,
+                              WallNow());
+    metrics_.Add("endpoint_pauses_total",
+                 "service=\"" + exchange.service->name + "\"", 1);
+    log_.Write(RequestLog::Kind::kFailed, "endpoint_paused", 0,
+               {{"request", exchange.caller.id},
+                {"endpoint", responder.ToString()},
+                {"pause", FormatDuration(*backend_response.pause)}},
+               now);
+  }
+  if (!backend_response.leaving ||
+      !notices_.OnLeaving(responder, now, WallNow())) {
+    return;
+  }
+  LogEvent(EventLevel::kInfo, "endpoint_leaving", 0,
+           {{"endpoint", responder.ToString()},
+            {"source", "response"},
+            {"request", exchange.caller.id}});
+  if (leaving_) leaving_(responder);
+}
+
 void Forwarder::RecordExecutedKey(const Exchange& exchange,
                                   std::uint64_t connection) {
   if (!exchange.job.key || !exchange.service->leases) return;
@@ -613,42 +652,46 @@
 
 void Forwarder::Finish(Exchange& exchange, HttpResponse response,
                        ResultCode code, const char* outcome) {
-  const auto now = Now();
   if (exchange.respond) {
-    const auto took = now - exchange.job.arrival;
-    const bool served = response.status < 400;
-    const unsigned number = static_cast<unsigned>(code);
-    metrics_.RecordRequest(RankOf(*exchange.route),
-                           code == ResultCode::kOk ? "ok" : ResultClass(code),
-                           number,
-                           std::chrono::duration_cast<Microseconds>(took),
-                           served && now <= exchange.job.target);
-    log_.Write(
-        served ? RequestLog::Kind::kServed : RequestLog::Kind::kFailed,
-        "request", number,
-        {{"request", exchange.caller.id},
-         {"route", exchange.route->name},
-         {"service", exchange.service->name},
-         {"config", std::to_string(exchange.routes->config().version)},
-         {"key", exchange.job.key ? std::to_string(*exchange.job.key) : "none"},
-         {"leases", exchange.service->leases
-                        ? std::to_string(exchange.service->leases->version)
-                        : "none"},
-         {"endpoint", exchange.endpoint.ref.id},
-         {"status", std::to_string(response.status)},
-         {"outcome", outcome},
-         {"attempts", std::to_string(exchange.attempts)},
-         {"took", FormatDuration(ToMilliseconds(took))},
-         {"target", FormatDuration(ToMilliseconds(exchange.job.target -
-                                                  exchange.job.arrival))},
-         {"left", FormatDuration(ToMilliseconds(exchange.deadline - now))},
-         {"history", exchange.history}},
-        now);
+    RecordEnd(exchange, response.status, code, outcome);
     std::exchange(exchange.respond, nullptr)(std::move(response));
   }
   Erase(exchange.id);
 }
 
+void Forwarder::RecordEnd(const Exchange& exchange, unsigned status,
+                          ResultCode code, const char* outcome) {
+  const auto now = Now();
+  const auto took = now - exchange.job.arrival;
+  const bool served = status < 400;
+  const unsigned number = static_cast<unsigned>(code);
+  metrics_.RecordRequest(RankOf(*exchange.route),
+                         code == ResultCode::kOk ? "ok" : ResultClass(code),
+                         number, std::chrono::duration_cast<Microseconds>(took),
+                         served && now <= exchange.job.target);
+  log_.Write(
+      served ? RequestLog::Kind::kServed : RequestLog::Kind::kFailed, "request",
+      number,
+      {{"request", exchange.caller.id},
+       {"route", exchange.route->name},
+       {"service", exchange.service->name},
+       {"config", std::to_string(exchange.routes->config().version)},
+       {"key", exchange.job.key ? std::to_string(*exchange.job.key) : "none"},
+       {"leases", exchange.service->leases
+                      ? std::to_string(exchange.service->leases->version)
+                      : "none"},
+       {"endpoint", exchange.endpoint.ref.id},
+       {"status", std::to_string(status)},
+       {"outcome", outcome},
+       {"attempts", std::to_string(exchange.attempts)},
+       {"took", FormatDuration(ToMilliseconds(took))},
+       {"target", FormatDuration(ToMilliseconds(exchange.job.target -
+                                                exchange.job.arrival))},
+       {"left", FormatDuration(ToMilliseconds(exchange.deadline - now))},
+       {"history", exchange.history}},
+      now);
+}
+
 void Forwarder::Erase(std::uint64_t id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
@@ -713,20 +756,7 @@
   }
   // The endpoint continues until its own deadline. The attempt stays open until
   // then, because it occupies a slot.
-  log_.Write(RequestLog::Kind::kFailed, "request", static_cast<unsigned>(code),
-             {{"request", exchange->caller.id},
-              {"route", exchange->route->name},
-              {"service", exchange->service->name},
-              {"endpoint", exchange->endpoint.ref.id},
-              {"status", "504"},
-              {"outcome", "timeout"},
-              {"attempts", std::to_string(exchange->attempts)},
-              {"history", exchange->history}},
-             Now());
-  metrics_.RecordRequest(
-      RankOf(*exchange->route), ResultClass(code), static_cast<unsigned>(code),
-      std::chrono::duration_cast<Microseconds>(Now() - exchange->job.arrival),
-      false);
+  RecordEnd(*exchange, response.status, code, "timeout");
   std::exchange(exchange->respond, nullptr)(std::move(response));
 }
 
@@ -825,6 +855,7 @@
 }
 
 void Forwarder::Clean() {
+  notices_.Clean(Now());
   std::erase_if(newest_responded_, [this](const auto& entry) {
     return std::ranges::none_of(endpoints_, [&](const auto& endpoint) {
       return endpoint.ref == entry.first;
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -12,6 +12,7 @@
 
 #include "core/result_code.h"
 #include "gateway/backend_dialect.h"
+#include "gateway/endpoint_notices.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_window.h"
 #include "gateway/route_table.h"
@@ -29,9 +30,11 @@
 // Runs on one event loop; not thread-safe.
 class Forwarder {
  public:
-  // The settings, the dialect and the metrics must outlive the forwarder.
+  // The settings, the dialect, the notices and the metrics must outlive the
+  // forwarder, which records what endpoints say in their responses.
   Forwarder(boost::asio::io_context& loop, const GatewaySettings& settings,
-            const BackendDialect& dialect, Metrics& metrics);
+            const BackendDialect& dialect, EndpointNotices& notices,
+            Metrics& metrics);
   ~Forwarder();
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
@@ -57,6 +60,12 @@
     stale_lease_ = std::move(handler);
   }
 
+  // Sets a handler that is called when an endpoint responds for the first time
+  // that it is leaving.
+  void set_leaving_handler(std::function<void(const EndpointRef&)> handler) {
+    leaving_ = std::move(handler);
+  }
+
   // Returns and clears the sampled keys of the requests since the last call, by
   // service.
   std::map<ServiceId, std::vector<ShardKey>> TakeKeySamples();
@@ -100,6 +109,8 @@
                  AttemptOutcome outcome);
   void OnResponse(Exchange& exchange, HttpResponse response,
                   std::uint64_t connection);
+  void RecordNotices(const Exchange& exchange,
+                     const BackendResponse& backend_response, SteadyTime now);
   void RecordExecutedKey(const Exchange& exchange, std::uint64_t connection);
   void OnNotExecuted(Exchange& exchange,
                      const BackendResponse& backend_response, unsigned status);
@@ -113,6 +124,9 @@
   void Reject(Exchange& exchange, const Rejection& rejection);
   void Finish(Exchange& exchange, HttpResponse response, ResultCode code,
               const char* outcome);
+  // Logs and counts the response that the caller gets now.
+  void RecordEnd(const Exchange& exchange, unsigned status, ResultCode code,
+                 const char* outcome);
   void FinishWithoutResponse(Exchange& exchange, const std::string& detail);
   void OnDeadline(std::uint64_t id);
   void OnAttemptTimeout(std::uint64_t id, std::uint64_t attempt_id);
@@ -128,6 +142,7 @@
   boost::asio::io_context& loop_;
   const GatewaySettings& settings_;
   const BackendDialect& dialect_;
+  EndpointNotices& notices_;
   Metrics& metrics_;
   RequestLog log_;
   std::shared_ptr<AnswerMemory> answer_memory_;
@@ -149,6 +164,7 @@
   // Send time of the newest request that each endpoint has responded to.
   std::map<EndpointRef, SteadyTime> newest_responded_;
   std::function<void(const ServiceId&)> stale_lease_;
+  std::function<void(const EndpointRef&)> leaving_;
   std::uint64_t last_id_ = 0;
   std::size_t gateway_count_ = 0;
   bool stopping_ = false;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -45,7 +45,8 @@
       started_(BootClock::now()),
       self_{settings_.id, ProcessIncarnation(), settings_.peer_address,
             settings_.data_centre},
-      forwarder_(loop, settings_, dialect, metrics_),
+      notices_(settings_.drain),
+      forwarder_(loop, settings_, dialect, notices_, metrics_),
       tick_timer_(loop),
       join_timer_(loop),
       report_timer_(loop),
@@ -118,6 +119,8 @@
   if (!metrics) return metrics;
   forwarder_.set_stale_lease_handler(
       [this](const ServiceId&) { leases_follower_->ReadNow(); });
+  forwarder_.set_leaving_handler(
+      [this](const EndpointRef& endpoint) { OnEndpointLeaving(endpoint); });
   LogInfo("start", {{"router", settings_.id},
                     {"incarnation", std::to_string(self_.incarnation)},
                     {"data_centre", settings_.data_centre},
@@ -196,6 +199,8 @@
   settings_.retry_ratio = settings.retry_ratio;
   settings_.retry_slack = settings.retry_slack;
   settings_.stop_grace = settings.stop_grace;
+  settings_.drain = settings.drain;
+  notices_.set_drain(settings.drain);
   LogInfo("reload", {{"router", settings_.id}});
 }
 
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway.h"
@@ -40,6 +41,10 @@
 inline constexpr const char* kSinceRenewalHeader =
     "Balsamhall-Since-Renewal-Ms";
 
+// Target of a report that an endpoint is leaving. Its body has the incarnation
+// and the id.
+inline constexpr const char* kLeavingTarget = "/leaving";
+
 // Returns nullopt for anything but decimal digits.
 std::optional<std::uint64_t> ParseUnsigned(std::string_view text);
 
@@ -98,6 +103,14 @@
   void Tick();
   void JoinElection();
   void ReportKeyLoad();
+  // An endpoint has said that it is leaving: its keys have to move.
+  void OnEndpointLeaving(const EndpointRef& endpoint);
+  // Records it, if it is not known from a response to a request.
+  void RecordLeaving(const EndpointRef& endpoint, const char* source);
+  // Tells the leader which owners of keys are leaving.
+  void ReportLeavingOwners();
+  void ReportLeaving(const LeaseKeeper& keeper, const EndpointRef& endpoint);
+  HttpResponse OnPeerLeaving(const std::string& body);
   void Apply(LeaseKeeper& keeper, const LeaseAction& action);
   void SendGrant(LeaseKeeper& keeper, const GrantCall& grant);
   void SendRelease(LeaseKeeper& keeper, const ReleaseCall& release);
@@ -135,6 +148,7 @@
   const BootTime started_;
   GatewayInstance self_;  // constant once registration has started
   Metrics metrics_;
+  EndpointNotices notices_;
   Forwarder forwarder_;
   EndpointRegistry registry_;
   std::map<std::string, AddressHolder> address_holders_;
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -1,5 +1,6 @@
 #include <algorithm>
 #include <ranges>
+#include <set>
 #include <variant>
 
 #include "gateway/gateway_impl.h"
@@ -42,7 +43,10 @@
   const auto capacities = forwarder_.Capacities(service);
   std::vector<EligibleEndpoint> endpoints;
   for (const auto& endpoint : LiveEndpoints()) {
-    if (endpoint.service != service || endpoint.draining) continue;
+    if (endpoint.service != service || endpoint.draining ||
+        notices_.Leaving(endpoint.ref)) {
+      continue;
+    }
     const auto learned = capacities.find(endpoint.ref);
     endpoints.push_back({{endpoint.ref, endpoint.address},
                          learned == capacities.end()
@@ -130,9 +134,48 @@
       });
 }
 
+void Gateway::Impl::OnEndpointLeaving(const EndpointRef& endpoint) {
+  metrics_.Add("endpoints_leaving_total", "", 1);
+  ApplyEndpoints();
+  for (const auto& keeper : keepers_ | std::views::values) {
+    ReportLeaving(*keeper, endpoint);
+  }
+}
+
+void Gateway::Impl::ReportLeaving(const LeaseKeeper& keeper,
+                                  const EndpointRef& endpoint) {
+  const LeaseTable& table = keeper.table();
+  const bool owns_keys = std::ranges::any_of(
+      table.ranges,
+      [&](const RangeLease& lease) { return lease.owner.ref == endpoint; });
+  if (!owns_keys || table.leader == self_ || table.leader.address.empty()) {
+    return;
+  }
+  ClientOf(peer_clients_, table.leader.address)
+      .Send({"POST",
+             kLeavingTarget,
+             {},
+             std::to_string(endpoint.incarnation) + " " + endpoint.id,
+             0},
+            kPeerTimeout, [](const HttpClient::Outcome&) {});
+}
+
+// Reports them again until they own no keys: a report, or the leader, may have
+// been lost.
+void Gateway::Impl::ReportLeavingOwners() {
+  for (const auto& keeper : keepers_ | std::views::values) {
+    std::set<EndpointRef> owners;
+    for (const RangeLease& lease : keeper->table().ranges) {
+      if (notices_.Leaving(lease.owner.ref)) owners.insert(lease.owner.ref);
+    }
+    for (const EndpointRef& owner : owners) ReportLeaving(*keeper, owner);
+  }
+}
+
 void Gateway::Impl::ReportKeyLoad() {
   RunAfter(report_timer_, kReportInterval, [this] { ReportKeyLoad(); });
   forwarder_.Clean();
+  ReportLeavingOwners();
   for (auto& client : call_clients_ | std::views::values) {
     client->CloseExpired();
   }
@@ -154,6 +197,18 @@
   }
 }
 
+void Gateway::Impl::RecordLeaving(const EndpointRef& endpoint,
+                                  const char* source) {
+  const auto wall = std::chrono::time_point_cast<Milliseconds>(
+      std::chrono::system_clock::now());
+  if (!notices_.OnLeaving(endpoint, std::chrono::steady_clock::now(), wall)) {
+    return;
+  }
+  LogInfo("endpoint_leaving",
+          {{"endpoint", endpoint.ToString()}, {"source", source}});
+  OnEndpointLeaving(endpoint);
+}
+
 HttpClient& Gateway::Impl::CallClientOf(const std::string& address) {
   auto& client = call_clients_[address];
   if (!client) {
@@ -182,7 +237,9 @@
                std::string("call=\"") + name + "\",outcome=\"" +
                    std::string(CallOutcomeName(result.outcome)) + "\"",
                1);
+  const bool leaving = result.leaving;
   keeper.OnCallResult(call, std::move(result), BootClock::now());
+  if (leaving) RecordLeaving(endpoint, "lease call");
 }
 
 void Gateway::Impl::SendGrant(LeaseKeeper& keeper, const GrantCall& grant) {
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <charconv>
 #include <ranges>
+#include <utility>
 
 #include "gateway/gateway_impl.h"
 
@@ -277,6 +278,19 @@
           ""};
 }
 
+HttpResponse Gateway::Impl::OnPeerLeaving(const std::string& body) {
+  const auto space = body.find(' ');
+  const auto incarnation = ParseUnsigned(body.substr(0, space));
+  if (space == std::string::npos || space + 1 == body.size() || !incarnation ||
+      !std::in_range<std::int64_t>(*incarnation)) {
+    return {400, {}, ""};
+  }
+  RecordLeaving(
+      {body.substr(space + 1), static_cast<std::int64_t>(*incarnation)},
+      "gateway");
+  return {204, {}, ""};
+}
+
 void Gateway::Impl::OnPeerRequest(const HttpRequest& request,
                                   const HttpServer::Respond& respond) {
   if (const auto query = ParsePeerStateRequest(request.target)) {
@@ -290,6 +304,9 @@
     long_polls_.push_back({*query, respond, BootClock::now() + kLongPollTime});
     return;
   }
+  if (request.target == kLeavingTarget) {
+    return respond(OnPeerLeaving(request.body));
+  }
   std::vector<std::string> parts;
   for (const auto part : std::views::split(request.target, '/')) {
     parts.emplace_back(part.begin(), part.end());
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -670,6 +670,11 @@
   return changed && Append(std::move(next), now, actions);
 }
 
+bool LeaseKeeper::CallsFail(const EndpointRef& endpoint) const {
+  const auto found = failures_.find(endpoint);
+  return found != failures_.end() && found->second.count > 0;
+}
+
 std::vector<EligibleEndpoint> LeaseKeeper::UsableEndpoints(BootTime now) {
   const auto unreachable = [&](const EligibleEndpoint& endpoint) {
     const auto failed = failures_.find(endpoint.holder.ref);
@@ -735,7 +740,9 @@
       if (lease.previous == lease.owner) lease.previous = {};
       const bool unusable = std::ranges::none_of(
           usable, [&](const auto& e) { return e.holder == from->owner; });
-      if (unusable && !IsSuperseded(from->owner)) {
+      // An endpoint that leaves in order still responds to a release.
+      if (unusable && !IsSuperseded(from->owner) &&
+          CallsFail(from->owner.ref)) {
         const auto end = OwnGrantsEnd(from->owner.ref);
         lease.expected_wait =
             std::max(kTypicalMoveTime,
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -86,6 +86,7 @@
 struct CallResult {
   CallOutcome outcome = CallOutcome::kUnanswered;
   std::string handover;  // data for the next holder, from a release
+  bool leaving = false;  // the endpoint that was called is leaving
 };
 
 // kConflict: the log did not end at expected_end. kUnknown: the response was
@@ -249,6 +250,8 @@
   BootTime OwnGrantsEnd(const EndpointRef& endpoint) const;
   void RecordEnd(const LeaseHolder& holder, BootTime now);
   void RecordFailure(const EndpointRef& endpoint, BootTime now);
+  // Returns whether the last call to the endpoint failed.
+  bool CallsFail(const EndpointRef& endpoint) const;
   void RecordLeaseEnd(const EndpointRef& endpoint, BootTime end);
   std::vector<EligibleEndpoint> UsableEndpoints(BootTime now);
   void PublishIfNeeded(BootTime now, std::vector<LeaseAction>& actions);
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -109,6 +109,8 @@
       return "no_lease";
     case RejectReason::kEndpointFailing:
       return "endpoint_failing";
+    case RejectReason::kEndpointsPaused:
+      return "endpoints_paused";
     case RejectReason::kOverload:
       return "overload";
     case RejectReason::kTooLate:
@@ -317,7 +319,8 @@
   if (!sharded_ || !job.key) return std::nullopt;
   const RangeLease* const lease =
       leases_ == nullptr ? nullptr : leases_->Find(*job.key);
-  if (lease == nullptr || !loads_.contains(lease->owner.ref)) {
+  if (lease == nullptr || !loads_.contains(lease->owner.ref) ||
+      !notices_.ServesHeldKeys(lease->owner.ref, now)) {
     wait = kDefaultUnavailableWait;
     return RejectReason::kNoLease;
   }
@@ -364,10 +367,8 @@
   }
   const Candidate best = BestCandidate(job, pass);
   if (best.endpoint == nullptr) {
-    const bool failing = sharded_ && job.key.has_value();
-    return reject(
-        failing ? RejectReason::kEndpointFailing : RejectReason::kNoEndpoint,
-        kDefaultUnavailableWait);
+    pass.decisions.rejections.push_back(RejectionWithoutCandidate(job, pass));
+    return;
   }
   if (best.expected_latency_ms > remaining_ms) {
     return reject(
@@ -403,16 +404,47 @@
   if (std::ranges::find(job.tried, endpoint.info().ref) != job.tried.end()) {
     return false;
   }
-  if (endpoint.Replaced(pass.now)) return false;
+  const EndpointRef& ref = endpoint.info().ref;
+  if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
+  if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
   return pass.ignore_ejections || !endpoint.Ejected(pass.now);
 }
 
+Rejection Scheduler::RejectionWithoutCandidate(const Job& job,
+                                               const Pass& pass) {
+  std::vector<const EndpointLoad*> left;
+  if (sharded_ && job.key) {
+    left.push_back(loads_.at(leases_->Find(*job.key)->owner.ref).get());
+  } else {
+    for (const auto& load : loads_ | std::views::values) {
+      const EndpointRef& ref = load->info().ref;
+      const bool tried = std::ranges::find(job.tried, ref) != job.tried.end();
+      if (!tried && !notices_.Leaving(ref)) left.push_back(load.get());
+    }
+  }
+  Milliseconds pause = Milliseconds::max();
+  for (const EndpointLoad* const load : left) {
+    const auto pause_left = notices_.PauseLeft(load->info().ref, pass.now);
+    if (pause_left > Milliseconds(0)) pause = std::min(pause, pause_left);
+  }
+  const bool paused = pause != Milliseconds::max();
+  const Milliseconds wait = paused ? pause : kDefaultUnavailableWait;
+  const RejectReason reason = paused ? RejectReason::kEndpointsPaused
+                              : sharded_ && job.key
+                                  ? RejectReason::kEndpointFailing
+                                  : RejectReason::kNoEndpoint;
+  return {job.id, reason, RetryAfter(job, wait, pass.now), wait};
+}
+
 Scheduler::Candidate Scheduler::BestCandidate(const Job& job, Pass& pass,
                                               bool headroom_only) {
   if (sharded_ && job.key) {
     const RangeLease* const lease = leases_->Find(*job.key);
     EndpointLoad& owner = *loads_.at(lease->owner.ref);
-    if (owner.Ejected(pass.now)) return {};
+    if (owner.Ejected(pass.now) ||
+        notices_.PauseLeft(lease->owner.ref, pass.now) > Milliseconds(0)) {
+      return {};
+    }
     const Candidate candidate = Evaluate(job, owner, pass);
     return headroom_only && !candidate.has_headroom ? Candidate{} : candidate;
   }
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -14,6 +14,7 @@
 
 #include "core/types.h"
 #include "gateway/endpoint_load.h"
+#include "gateway/endpoint_notices.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
 
@@ -40,6 +41,7 @@
   kNoEndpoint,       // none is registered, or none is left to try
   kNoLease,          // no endpoint currently holds a lease for the key
   kEndpointFailing,  // the endpoint that holds the key is ejected
+  kEndpointsPaused,  // all that are left asked for no requests for a time
   kOverload,         // latency budget exceeded, or the queue is full
   kTooLate,          // no endpoint can respond before the deadline
 };
@@ -83,6 +85,10 @@
 // - Load concentrated in one data centre: a transfer between data centres has a
 //   cost by its bytes, and a request leaves its data centre only if that gains
 //   more than the transfer costs.
+// // - Endpoints that are leaving, or that asked for no requests for a time,
+// get
+//   none (EndpointNotices). If all endpoints asked, requests are rejected at
+//   once with the time that is left, instead of being queued for them.
 // - Slow, failing or unresponsive endpoints: see EndpointLoad. At most half of
 //   the endpoints are ejected at a time: while more would be, ejections are
 //   ignored. This does not apply to services that are sharded by key, nor to
@@ -91,10 +97,11 @@
 // All times are of one monotonic clock. Not thread-safe.
 class Scheduler {
  public:
-  // The settings must outlive the scheduler. seed: for the jitter of
-  // Retry-After.
-  Scheduler(const GatewaySettings& settings, std::uint32_t seed)
-      : settings_(settings), random_(seed) {}
+  // // The settings and the notices must outlive the scheduler. seed: for the
+  // jitter of Retry-After.
+  Scheduler(const GatewaySettings& settings, const EndpointNotices& notices,
+            std::uint32_t seed)
+      : settings_(settings), notices_(notices), random_(seed) {}
 
   // Replaces the endpoints that may receive requests. Load estimates
   // are kept for endpoints that stay, or that return while requests are in
@@ -167,10 +174,13 @@
   Candidate Evaluate(const Job& job, EndpointLoad& endpoint, Pass& pass) const;
   bool IsEligible(const Job& job, const EndpointLoad& endpoint,
                   const Pass& pass) const;
+  // Rejects a job for which there is no candidate.
+  Rejection RejectionWithoutCandidate(const Job& job, const Pass& pass);
   Milliseconds RetryAfter(const Job& job, Milliseconds wait, SteadyTime now);
   EndpointLoad* FindLoad(const EndpointRef& endpoint);
 
   const GatewaySettings& settings_;
+  const EndpointNotices& notices_;
   std::map<EndpointRef, std::unique_ptr<EndpointLoad>> loads_;
   // Removed endpoints that still have requests in flight.
   std::map<EndpointRef, std::unique_ptr<EndpointLoad>> removed_loads_;
--- a/Tests/Gateway/endpoint_load_test.cc
+++ b/Tests/Gateway/endpoint_load_test.cc
@@ -72,7 +72,8 @@
   GatewaySettings settings;
   settings.data_centre = "a";
   settings.region_of["a"] = "region";
-  Scheduler scheduler(settings, 1);
+  const EndpointNotices notices(Ms(2'500));
+  Scheduler scheduler(settings, notices, 1);
   std::vector<EndpointInfo> infos;
   infos.reserve(kEndpoints);
   for (int i = 0; i < kEndpoints; ++i) {
--- a/Tests/Gateway/load_replay.cc
+++ b/Tests/Gateway/load_replay.cc
@@ -51,7 +51,8 @@
         gateway->settings = settings;
         gateway->settings.data_centre = "c" + std::to_string(c);
         gateway->scheduler = std::make_unique<Scheduler>(
-            gateway->settings, static_cast<std::uint32_t>(gateways_.size()));
+            gateway->settings, notices_,
+            static_cast<std::uint32_t>(gateways_.size()));
         gateway->scheduler->SetEndpoints(infos, now_);
         gateway->in_flight.resize(endpoints_.size());
         gateways_.push_back(std::move(gateway));
@@ -320,6 +321,7 @@
 
   const LoadPattern& pattern_;
   const Policy policy_;
+  const EndpointNotices notices_{Ms(2'500)};
   std::mt19937 random_;
   const SteadyTime start_{std::chrono::seconds(1'000)};
   SteadyTime now_ = start_;
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -130,7 +130,12 @@
 }
 
 void UsersEndpoint::OnRequest(const HttpRequest& request,
-                              const HttpServer::Respond& respond) {
+                              const HttpServer::Respond& respond_plainly) {
+  const HttpServer::Respond respond = [this,
+                                       respond_plainly](HttpResponse response) {
+    if (leaving_) response.headers.emplace_back("Server-Leaving", "1");
+    respond_plainly(std::move(response));
+  };
   const auto refuse = [&](unsigned status, const char* header,
                           const std::string& value) {
     respond({status,
--- a/Tests/StandIn/users_endpoint.h
+++ b/Tests/StandIn/users_endpoint.h
@@ -51,6 +51,8 @@
   const std::string& id() const { return id_; }
 
   void set_fault(EndpointFault fault) { fault_ = fault; }
+  // Whether all its answers say that it is leaving.
+  void set_leaving(bool leaving) { leaving_ = leaving; }
   void set_work_time(Milliseconds time) { work_time_ = time; }
   // Runs of each request.
   const std::map<std::string, int>& runs() const { return runs_; }
@@ -80,6 +82,7 @@
   std::unique_ptr<HttpServer> server_;
   std::string address_;
   EndpointFault fault_ = EndpointFault::kNone;
+  bool leaving_ = false;
   Milliseconds work_time_{5};
   std::map<std::string, int> runs_;
   std::set<std::uint64_t> gone_;  // connections that the caller closed
--- a/Tests/UsersPlatform/gateway_fixture.h
+++ b/Tests/UsersPlatform/gateway_fixture.h
@@ -101,6 +101,7 @@
       const std::map<std::string, std::string>& more_entries = {}) {
     store_address = store.Listen();
     const auto settings = Settings(addresses, "gateway-1", store_address);
+    front_address = settings.front_address;
     store.Put("keyed.op", "config", Config("00000001").dump());
     for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
       endpoint->Listen();
@@ -176,6 +177,7 @@
   ReservedAddresses addresses{loop};
   UsersStore store{loop};
   std::string store_address;
+  std::string front_address;  // of the gateway under test
   UsersEndpoint plain1{loop, "i-1", false};
   UsersEndpoint plain2{loop, "i-2", false};
   UsersEndpoint keyed{loop, "i-3", true};
