Balance keys by the speeds that all gateways observe

Its endpoints have the speeds 0.6, 1 and 1.4. The leader, one of 195 gateways, sees a response of an endpoint once in half a minute, knew no speed, and gave the slow ones a full share: more than they can serve.

The leader weights them by their number and age, and falls back to the mean where it knows little. Reports are bounded and parsed with care.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -855,6 +855,12 @@
   return std::exchange(key_samples_, {});
 }
 
+SpeedReport Forwarder::TakeSpeeds(const ServiceId& service) {
+  const auto found = services_.find(service);
+  if (found == services_.end()) return {};
+  return found->second->scheduler.TakeSpeeds();
+}
+
 std::map<EndpointRef, double> Forwarder::Capacities(
     const ServiceId& service) const {
   const auto found = services_.find(service);
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -18,6 +18,7 @@
 
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_registry.h"
+#include "gateway/endpoint_speeds.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway.h"
 #include "gateway/lease_keeper.h"
@@ -41,6 +42,8 @@
 inline constexpr const char* kSinceRenewalHeader =
     "Balsamhall-Since-Renewal-Ms";
 
+// // Header of a report of keys in use: see FormatSpeedReport().
+inline constexpr const char* kSpeedsHeader = "Balsamhall-Speeds";
 // Target of a report that an endpoint is leaving. Its body has the incarnation
 // and the id.
 inline constexpr const char* kLeavingTarget = "/leaving";
@@ -154,6 +157,8 @@
   std::map<std::string, AddressHolder> address_holders_;
   std::shared_ptr<const RouteTable> routes_;
   std::map<ServiceId, std::unique_ptr<LeaseKeeper>> keepers_;
+  // Used as the leader.
+  std::map<ServiceId, EndpointSpeeds> endpoint_speeds_;
   std::map<ServiceId, std::uint64_t> applied_versions_;
   std::string config_text_;
   std::uint64_t registry_offset_ = 0;
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -41,6 +41,8 @@
 std::vector<EligibleEndpoint> Gateway::Impl::EligibleEndpoints(
     const ServiceId& service) const {
   const auto capacities = forwarder_.Capacities(service);
+  const auto speeds = endpoint_speeds_.find(service);
+  const BootTime now = BootClock::now();
   std::vector<EligibleEndpoint> endpoints;
   for (const auto& endpoint : LiveEndpoints()) {
     if (endpoint.service != service || endpoint.draining ||
@@ -48,10 +50,13 @@
       continue;
     }
     const auto learned = capacities.find(endpoint.ref);
-    endpoints.push_back({{endpoint.ref, endpoint.address},
-                         learned == capacities.end()
-                             ? static_cast<double>(endpoint.slots)
-                             : learned->second});
+    double capacity = endpoint.slots;
+    if (speeds != endpoint_speeds_.end()) {
+      capacity *= speeds->second.Speed(endpoint.ref, now);
+    } else if (learned != capacities.end()) {
+      capacity = learned->second;
+    }
+    endpoints.push_back({{endpoint.ref, endpoint.address}, capacity});
   }
   return endpoints;
 }
@@ -185,13 +190,19 @@
     if (found == keepers_.end()) continue;
     LeaseKeeper& keeper = *found->second;
     const GatewayInstance& leader = keeper.table().leader;
+    SpeedReport speeds = forwarder_.TakeSpeeds(service);
     if (elected_ || leader == self_) {
       keeper.load().Add(keys, now);
+      endpoint_speeds_[service].Add(speeds, now);
       keeper.OnEndpoints(EligibleEndpoints(service), now);
     } else if (!leader.address.empty()) {
       // A lost report is not sent again; the next one follows soon.
       ClientOf(peer_clients_, leader.address)
-          .Send({"POST", "/load/" + service, {}, EncodeKeys(keys), 0},
+          .Send({"POST",
+                 "/load/" + service,
+                 {{kSpeedsHeader, FormatSpeedReport(speeds)}},
+                 EncodeKeys(keys),
+                 0},
                 kPeerTimeout, [](const HttpClient::Outcome&) {});
     }
   }
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -318,6 +318,8 @@
   if (parts.size() == 3 && parts[1] == "load" && IsShardedByKey(parts[2])) {
     const BootTime now = BootClock::now();
     Keeper(parts[2]).load().Add(DecodeKeys(request.body), now);
+    endpoint_speeds_[parts[2]].Add(
+        ParseSpeedReport(FindHeader(request.headers, kSpeedsHeader)), now);
     return respond({204, {}, ""});
   }
   respond({404, {}, ""});
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -192,6 +192,9 @@
   stats.response_bytes +=
       kResponseBytesWeight *
       (static_cast<double>(response_bytes) - stats.response_bytes);
+  if (sharded_ && relative_time > 0) {
+    speeds_[endpoint].Add(1 / relative_time);
+  }
   state->OnResponse(job, now, relative_time, load);
 }
 
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -18,6 +18,7 @@
 #include "core/types.h"
 #include "gateway/endpoint_load.h"
 #include "gateway/endpoint_notices.h"
+#include "gateway/endpoint_speeds.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
 
@@ -159,6 +160,8 @@
   // Mean service time of a kind on an endpoint of typical speed, without
   // network and queueing time; 0 if not known.
   Milliseconds ServiceTime(const std::string& kind) const;
+  // // Returns and clears the observed speeds of endpoints since the last call.
+  SpeedReport TakeSpeeds() { return std::exchange(speeds_, {}); }
   // Estimated capacity of each endpoint: slots divided by slowdown.
   std::map<EndpointRef, double> Capacities(SteadyTime now) const;
   std::size_t waiting() const { return waiting_.size(); }
@@ -213,6 +216,7 @@
   std::vector<Job> waiting_;
   std::unordered_map<std::string, KindStats> kind_stats_;
   std::minstd_rand random_;
+  SpeedReport speeds_;
   double urgent_share_ = 0;  // of recent requests
   std::unordered_set<const EndpointLoad*> reserved_endpoints_;
   bool urgent_mode_ = false;       // slots are reserved for urgent work
