--- a/Tests/Gateway/endpoint_speeds_test.cc
+++ b/Tests/Gateway/endpoint_speeds_test.cc
@@ -2,9 +2,11 @@
 #include "gateway/endpoint_speeds.h"
 
 #include <algorithm>
+#include <array>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <optional>
 #include <ostream>
 #include <random>
 #include <vector>
@@ -84,98 +86,100 @@
 // Seen on para-gateway-large scale-1: 30% of all lookups were late all day. 205
 // owners of keys have the speeds 0.6, 1 and 1.4, and 1,500 requests a second
 // use 63% of their slots. The leader gave the slow ones a full share.
-BOOST_DATA_TEST_CASE(slow_owners_get_less_load, data::make({1U, 2U, 3U}),
-                     seed) {
-  constexpr std::size_t kOwners = 205;
-  constexpr int kRequestsPerSecond = 1'500;
-  constexpr double kServiceSeconds = 0.17;
-  constexpr unsigned kSlots = 2;
-  const std::vector<double> kSpeeds{0.6, 1.0, 1.4};
-  std::mt19937 random(seed);
-  std::lognormal_distribution<double> variation(-0.045, 0.3);
-  std::uniform_int_distribution<int> any_key(0, 65'535);
-  const auto speed_of = [&](std::size_t owner) {
-    return kSpeeds[owner % kSpeeds.size()];
-  };
+constexpr std::size_t kOwners = 205;
+constexpr int kRequestsPerSecond = 1'500;
+constexpr double kServiceSeconds = 0.17;
+constexpr unsigned kSlots = 2;
+constexpr std::array kSpeeds{0.6, 1.0, 1.4};
+constexpr int kReplayedSeconds = 30;
+
+LeaseHolder Owner(std::size_t index) {
+  return {{std::to_string(index), 1}, ""};
+}
 
-  // Returns the greatest share of an owner's slots that is in use at the end.
-  const auto run = [&](bool use_speeds) {
-    LeaseTable table;
-    KeyLoad load;
-    EndpointSpeeds speeds;
-    BootTime now = kStart;
-    std::vector<double> arrivals(kOwners);
-    for (int second = 0; second < 30; ++second) {
-      now += Ms(1'000);
-      std::ranges::fill(arrivals, 0);
-      SpeedReport report;
-      for (int i = 0; i < kRequestsPerSecond; ++i) {
-        const auto key = static_cast<ShardKey>(any_key(random));
-        load.Add({{key}}, now);
-        const RangeLease* const lease = table.Find(key);
-        if (lease == nullptr) continue;
-        const auto owner =
-            static_cast<std::size_t>(std::stoi(lease->owner.ref.id));
-        ++arrivals[owner];
-        report[lease->owner.ref].Add(speed_of(owner) / variation(random));
-      }
-      speeds.Add(report, now);
-      std::vector<EligibleEndpoint> owners;
-      for (std::size_t i = 0; i < kOwners; ++i) {
-        const LeaseHolder holder{{std::to_string(i), 1}, ""};
-        owners.push_back(
-            {holder,
-             kSlots * (use_speeds ? speeds.Speed(holder.ref, now) : 1)});
-      }
-      const auto moves = PlanMoves(table, owners, load.PrefixSums(now),
-                                   MaxMovesPerPlan(kOwners));
-      std::vector<RangeLease> ranges;
-      for (const RangeMove& move : moves) {
-        ranges.push_back({move.range, move.to, 1, true, {}, Ms(0)});
-      }
-      for (const RangeLease& lease : table.ranges) {
-        std::uint32_t first = lease.range.first;
-        std::vector<KeyRange> taken;
-        for (const RangeMove& move : moves) {
-          if (lease.range.Contains(move.range.first)) {
-            taken.push_back(move.range);
-          }
-        }
-        std::ranges::sort(taken);
-        taken.push_back({static_cast<ShardKey>(lease.range.last), 0});
-        for (std::size_t i = 0; i < taken.size(); ++i) {
-          const bool end = i + 1 == taken.size();
-          const std::uint32_t last =
-              end ? std::uint32_t{lease.range.last} + 1 : taken[i].first;
-          if (first < last) {
-            RangeLease rest = lease;
-            rest.range = {static_cast<ShardKey>(first),
-                          static_cast<ShardKey>(last - 1)};
-            ranges.push_back(rest);
-          }
-          if (!end) first = std::uint32_t{taken[i].last} + 1;
-        }
-      }
-      std::ranges::sort(ranges, std::less{}, [](const RangeLease& lease) {
-        return lease.range.first;
-      });
-      table.ranges = std::move(ranges);
+std::size_t IndexOf(const LeaseHolder& owner) {
+  return static_cast<std::size_t>(std::stoi(owner.ref.id));
+}
+
+double SpeedOf(std::size_t owner) { return kSpeeds.at(owner % kSpeeds.size()); }
+
+// Gives the keys of the moves to their new owners.
+LeaseTable Apply(const LeaseTable& table, const std::vector<RangeMove>& moves) {
+  std::vector<std::optional<LeaseHolder>> owners(kShardKeys);
+  const auto assign = [&](const KeyRange& range, const LeaseHolder& owner) {
+    std::fill(owners.begin() + range.first, owners.begin() + range.last + 1,
+              owner);
+  };
+  for (const RangeLease& lease : table.ranges) assign(lease.range, lease.owner);
+  for (const RangeMove& move : moves) assign(move.range, move.to);
+  LeaseTable next;
+  for (std::uint32_t first = 0; first < kShardKeys;) {
+    std::uint32_t last = first;
+    while (last + 1 < kShardKeys && owners[last + 1] == owners[first]) ++last;
+    const KeyRange range{static_cast<ShardKey>(first),
+                         static_cast<ShardKey>(last)};
+    if (owners[first]) {
+      next.ranges.push_back({range, *owners[first], 1, true, {}, Ms(0)});
     }
-    // Expected use, without the variation of the arrivals.
-    std::vector<double> keys(kOwners);
-    for (const RangeLease& lease : table.ranges) {
-      keys[static_cast<std::size_t>(std::stoi(lease.owner.ref.id))] +=
-          lease.range.size();
+    first = last + 1;
+  }
+  return next;
+}
+
+// Returns the greatest share of an owner's slots that the requests need,
+// without the variation of their arrivals.
+double BusiestOwner(const LeaseTable& table) {
+  std::vector<double> keys(kOwners);
+  for (const RangeLease& lease : table.ranges) {
+    keys.at(IndexOf(lease.owner)) += lease.range.size();
+  }
+  double busiest = 0;
+  for (std::size_t i = 0; i < kOwners; ++i) {
+    const double requests = keys[i] / kShardKeys * kRequestsPerSecond;
+    busiest =
+        std::max(busiest, requests * kServiceSeconds / kSlots / SpeedOf(i));
+  }
+  return busiest;
+}
+
+// Plans each second from the requests of that second, and returns the last
+// table.
+LeaseTable ReplayPlans(bool use_speeds, std::uint32_t seed) {
+  std::mt19937 random(seed);
+  std::lognormal_distribution<double> variation(-0.045, 0.3);
+  std::uniform_int_distribution<int> any_key(0, kShardKeys - 1);
+  LeaseTable table;
+  KeyLoad load;
+  EndpointSpeeds speeds;
+  BootTime now = kStart;
+  for (int second = 0; second < kReplayedSeconds; ++second) {
+    now += Ms(1'000);
+    SpeedReport report;
+    for (int i = 0; i < kRequestsPerSecond; ++i) {
+      const auto key = static_cast<ShardKey>(any_key(random));
+      load.Add({{key}}, now);
+      const RangeLease* const lease = table.Find(key);
+      if (lease == nullptr) continue;
+      report[lease->owner.ref].Add(SpeedOf(IndexOf(lease->owner)) /
+                                   variation(random));
     }
-    double busiest = 0;
+    speeds.Add(report, now);
+    std::vector<EligibleEndpoint> owners(kOwners);
     for (std::size_t i = 0; i < kOwners; ++i) {
-      busiest = std::max(busiest, keys[i] / kShardKeys * kRequestsPerSecond *
-                                      kServiceSeconds / kSlots / speed_of(i));
+      owners[i].holder = Owner(i);
+      owners[i].capacity =
+          kSlots * (use_speeds ? speeds.Speed(owners[i].holder.ref, now) : 1);
     }
-    return busiest;
-  };
-  const double before = run(false);
-  const double after = run(true);
+    table = Apply(table, PlanMoves(table, owners, load.PrefixSums(now),
+                                   MaxMovesPerPlan(kOwners)));
+  }
+  return table;
+}
+
+BOOST_DATA_TEST_CASE(slow_owners_get_less_load, data::make({1U, 2U, 3U}),
+                     seed) {
+  const double before = BusiestOwner(ReplayPlans(false, seed));
+  const double after = BusiestOwner(ReplayPlans(true, seed));
   BOOST_TEST_MESSAGE("busiest owner: " << before << " of its slots, " << after
                                        << " with speeds");
   BOOST_TEST(before > 1);
--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -278,15 +278,16 @@
 
 // A process that started at the address took a grant with the fence of the
 // ended one, because the grant went out on a new connection.
+constexpr Ms kReleaseTick{40};
+constexpr Ms kReleaseTime{1'200};
+
 // An endpoint that answers 409 to a release, which none should, was asked again
 // at each tick.
 BOOST_AUTO_TEST_CASE(a_refused_release_is_repeated_after_a_pause) {
-  constexpr Ms kTick{40};
-  constexpr Ms kTime{1'200};
   LeaseKeeper keeper = MakeKeeper(kLeader, false);
   keeper.OnElection(true);
   int releases = 0;
-  for (Ms passed{0}; passed < kTime; passed += kTick) {
+  for (Ms passed{0}; passed < kReleaseTime; passed += kReleaseTick) {
     const BootTime now = kStart + passed;
     for (const auto& release : ActionsOf<ReleaseCall>(keeper.Tick(now))) {
       ++releases;
@@ -294,7 +295,7 @@
     }
   }
   BOOST_TEST(releases >= 2);
-  BOOST_TEST(releases <= kTime / Ms(120));
+  BOOST_TEST(releases <= kReleaseTime / Ms(120));
 }
 
 // The owner of all keys announces that it leaves. Its keys were expected to be
--- a/Tests/Net/http_server_drain_test.cc
+++ b/Tests/Net/http_server_drain_test.cc
@@ -18,8 +18,9 @@
 namespace asio = boost::asio;
 using tcp = asio::ip::tcp;
 
+constexpr int kCallers = 5;
+
 BOOST_AUTO_TEST_CASE(requests_in_the_accept_queue_are_answered) {
-  constexpr int kCallers = 5;
   asio::io_context loop(1);
   HttpServer server(loop, HttpServerOptions{},
                     [](const HttpRequest&, const HttpServer::Respond& respond) {
