Count requests in flight for the capacity of owners of keys

The speeds that gateways report come from responses. An endpoint that has become very slow sends none for seconds, which the leader's own requests in flight show sooner, as before the reports: they count if they show less than half of the reported capacity.

--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -18,6 +18,10 @@
 constexpr Milliseconds kCallConnectTimeout{250};
 // Lease calls are answered without a body, or with a short text.
 constexpr std::size_t kMaxCallAnswerBytes = 64U << 10U;
+// The requests that this gateway has in flight show that an endpoint has become
+// slow before its responses do. Below this share of the capacity by reported
+// speeds, which a single slow response cannot cause, they count instead.
+constexpr double kMuchSlowerShare = 0.5;
 
 template <class... Visitors>
 struct Overloaded : Visitors... {
@@ -50,11 +54,13 @@
       continue;
     }
     const auto learned = capacities.find(endpoint.ref);
-    double capacity = endpoint.slots;
+    const double own_capacity = learned == capacities.end()
+                                    ? static_cast<double>(endpoint.slots)
+                                    : learned->second;
+    double capacity = own_capacity;
     if (speeds != endpoint_speeds_.end()) {
-      capacity *= speeds->second.Speed(endpoint.ref, now);
-    } else if (learned != capacities.end()) {
-      capacity = learned->second;
+      capacity = endpoint.slots * speeds->second.Speed(endpoint.ref, now);
+      if (own_capacity < kMuchSlowerShare * capacity) capacity = own_capacity;
     }
     endpoints.push_back({{endpoint.ref, endpoint.address}, capacity});
   }
