Wait for the first lease in a test of memory

many_bodies_without_end_leave_memory failed once beside two builds: its last request, for a key, got 503 instead of 200. The bodies may end 1.2 s after the start, and the first lease is granted after about a second; in runs beside load the request then waited 149 to 155 ms of its 200 ms for it, so a little earlier it is rightly rejected. The test now has the key served before it fills the memory; the check at its end is the same.

--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -209,6 +209,11 @@
     entries["i-9" + std::to_string(i)] = entry.dump();
   }
   GatewayFixture fixture(entries);
+  // Without the first lease, about a second after the start, the keyed request
+  // at the end is rejected: the bodies may end sooner.
+  BOOST_REQUIRE(fixture.RunUntil([&] {
+    return fixture.Send(fixture.Request("/keyed/1", "first")).status == 200U;
+  }));
   std::vector<unsigned> statuses;
   for (int i = 0; i < kWrites; ++i) {
     HttpRequest request =
