Send configurations between gateways as patches, and bound their fall-back

Cause: the fall-back to the store was unbounded. A follower gave its reader 0.4 s beyond its wait to deliver the whole text, which is 0.8 MB with 4,300 routes: too little on a link of 10 Mbit/s. A single failed call of a reader made it tell all followers to leave it. Each of them then read the whole configuration, registry and leases from the store, all over the one link between the regions; reads that took longer than 1.2 s were given up and started anew. So the reads kept the link full, and lease calls, joins and requests on it timed out.

- A configuration travels between gateways as a patch (libzstd, with the text of the requester's version as the prefix): 0.83 MB become 0.10 MB without an earlier version, 34 KB with 1,400 routes more, 104 bytes with another weight.
Requests say in a header that they accept it; earlier gateways get and send whole texts.
- A response that still arrives is read on beyond its time-out.
- If a reader is lost, the next gateway takes over and the others wait for it.
They read the store themselves only after 1.5 s and 0.5 s for each gateway before them, and then from the offsets that their reader had reached.
- A reader counts as lost to its followers after two failed calls, as to itself.
A reader that stops says so at once, and a stopping follower follows on.

followers_of_a_lost_reader_follow_the_next_one failed before: 8 deliveries of the configuration, 7 of them of the new one, and now at most 2. The test of starting gateways expected 4 reads beside a live second reader; such a start now needs one, and the case of 4 is a start without any other gateway.

--- /dev/null
+++ b/Source/gateway/config_history.cc
@@ -0,0 +1,51 @@
+#include "gateway/config_history.h"
+
+#include <utility>
+
+namespace balsamhall::gateway {
+namespace {
+
+// Followers of a reader are at most a few versions behind it.
+constexpr std::size_t kMaxTexts = 4;
+// The platform's store accepts no longer records.
+constexpr std::size_t kMaxTextBytes = 8U << 20U;
+
+}  // namespace
+
+void ConfigHistory::Add(std::uint64_t version, std::string text) {
+  texts_.insert_or_assign(version, std::move(text));
+  if (texts_.size() > kMaxTexts) texts_.erase(texts_.begin());
+  patches_.clear();
+}
+
+const std::string& ConfigHistory::newest() const {
+  static const std::string kEmpty;
+  return texts_.empty() ? kEmpty : texts_.rbegin()->second;
+}
+
+const ConfigPatch& ConfigHistory::PatchFrom(std::uint64_t version) {
+  const auto base = texts_.find(version);
+  const std::uint64_t base_version = base == texts_.end() ? 0 : version;
+  const auto [entry, is_new] = patches_.try_emplace(base_version);
+  if (is_new) {
+    const std::string_view text =
+        base == texts_.end() ? std::string_view() : base->second;
+    entry->second = {base_version, MakeTextPatch(text, newest())};
+  }
+  return entry->second;
+}
+
+Result<std::string> ConfigHistory::Apply(const ConfigPatch& patch) const {
+  if (patch.base_version == 0) {
+    return ApplyTextPatch({}, patch.patch, kMaxTextBytes);
+  }
+  const auto base = texts_.find(patch.base_version);
+  if (base == texts_.end()) {
+    return Error{ResultCode::kPeerFrameMalformed,
+                 "patch of configuration " +
+                     std::to_string(patch.base_version) + ", which is unknown"};
+  }
+  return ApplyTextPatch(base->second, patch.patch, kMaxTextBytes);
+}
+
+}  // namespace balsamhall::gateway
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -214,6 +214,7 @@
   const Milliseconds give_up = settings_.stop_grace - kStopReserve;
   forwarder_.SetStopping(now + kDrainDelay, now + give_up);
   front_server_->AnnounceClose();
+  RespondToLongPolls(true);
   for (auto& keeper : keepers_ | std::views::values) keeper->Stop();
   if (UsesLeases()) store_.LeaveLeaderElection(settings_.id, [] {});
   const auto finish = [this] {
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -16,6 +16,7 @@
 #include <utility>
 #include <vector>
 
+#include "gateway/config_history.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_registry.h"
 #include "gateway/endpoint_speeds.h"
@@ -44,6 +45,9 @@
 
 // Header of a report of keys in use: see FormatSpeedReport().
 inline constexpr const char* kSpeedsHeader = "Balsamhall-Speeds";
+// Header of a request for the state of a gateway: the configuration may come as
+// a patch.
+inline constexpr const char* kAcceptPatchHeader = "Balsamhall-Accept-Patch";
 // Target of a report that an endpoint is leaving. Its body has the incarnation
 // and the id.
 inline constexpr const char* kLeavingTarget = "/leaving";
@@ -82,7 +86,8 @@
   // Records whether a call to the store succeeded.
   void OnStoreResult(bool success, const std::string& detail);
   void OnConfigPage(const LogPage& page);
-  void ApplyConfig(const std::string& text);
+  // source: for the log.
+  void ApplyConfig(const std::string& text, const char* source);
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
@@ -126,9 +131,16 @@
   void RequestPeerState();
   std::optional<std::string> NextPeer();
   void ApplyPeerState(PeerState state, BootTime as_of);
-  HttpResponse MakePeerStateResponse(const PeerStateRequest& query);
-  PeerStateRequest MakePeerStateRequest(bool long_poll) const;
+  HttpResponse MakePeerStateResponse(const PeerStateRequest& query,
+                                     bool accepts_patch);
+  PeerStateRequest MakePeerStateQuery(bool long_poll) const;
+  HttpRequest MakePeerStateRequest(bool long_poll) const;
+  void ApplyPeerConfig(const PeerState& state);
+  std::uint64_t LeasesEnd() const;
   std::optional<GatewayInstance> ReaderToFollow() const;
+  std::size_t PlaceAmongReaders() const;
+  void OnReaderFailed(const GatewayInstance& reader, bool reached,
+                      const std::string& detail);
   void FollowReader();
   void OnFollowResult(const GatewayInstance& reader,
                       const HttpClient::Outcome& outcome, BootTime as_of);
@@ -160,8 +172,12 @@
   // Used as the leader.
   std::map<ServiceId, EndpointSpeeds> endpoint_speeds_;
   std::map<ServiceId, std::uint64_t> applied_versions_;
-  std::string config_text_;
+  ConfigHistory configs_;
+  // Offsets up to which the logs were read, by this gateway or its reader.
+  std::uint64_t config_offset_ = 0;
   std::uint64_t registry_offset_ = 0;
+  // False once a patch did not fit: other gateways then send whole texts.
+  bool accepts_patches_ = true;
   std::map<RouterId, GatewayInstance> gateways_;
   bool gateways_known_ = false;  // read from the store at least once
   bool registering_ = false;     // the record has been sent at least once
@@ -170,9 +186,12 @@
   // The gateway through which this one reads the store; empty if there is none.
   RouterId reader_;
   std::map<RouterId, BootTime> avoided_readers_;  // until when
+  // Since when no reader has delivered its state; empty while one does.
+  std::optional<BootTime> without_reader_since_;
   // A request for the state of this gateway that has not been responded to yet.
   struct LongPoll {
     PeerStateRequest query;
+    bool accepts_patch = false;
     HttpServer::Respond respond;
     BootTime deadline;
   };
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -19,12 +19,23 @@
 // Pause between two such requests, and before the next search for a reader.
 constexpr Milliseconds kFollowPause{80};
 constexpr Milliseconds kNoReaderPause{1'000};
-// How long a starting gateway waits for its reader to respond before it reads
-// the store itself.
+// How long a starting gateway takes an unresponsive reader for one that starts
+// as well.
 constexpr Milliseconds kReaderStartTimeout{1'200};
 // A reader that did not respond, or cannot reach the store, is not followed for
 // this time.
 constexpr Milliseconds kAvoidReaderTime{5'000};
+// Without a reader, the store counts as unreachable after this time.
+constexpr Milliseconds kReaderLostTime{700};
+// If a reader is lost, the next gateway in the order of ids takes over, and the
+// others wait for it. One that has waited for this time, and for the stagger
+// times its place in the order, reads the store itself: if all did so at once,
+// a large configuration would fill the link that they share.
+constexpr Milliseconds kTakeoverTime{1'500};
+constexpr Milliseconds kDirectReadStagger{500};
+// Time without any further bytes after which a response that is late is given
+// up. A configuration takes long on a slow link, and would start anew.
+constexpr Milliseconds kProgressInterval{400};
 constexpr Milliseconds kConnectTimeout{250};
 // Age of leases that were never read: far above LeaseKeeper::kMaxViewAge. The
 // time since the VM started would not do, because it may be short.
@@ -57,6 +68,7 @@
   if (!client) {
     HttpClientOptions options;
     options.connect_timeout = kConnectTimeout;
+    options.progress_interval = kProgressInterval;
     client = std::make_unique<HttpClient>(loop_, address, options);
   }
   return *client;
@@ -84,12 +96,8 @@
   peer_request_pending_ = true;
   const BootTime as_of = BootClock::now();
   ClientOf(peer_clients_, *address)
-      .Send({"GET",
-             FormatPeerStateRequest(MakePeerStateRequest(false)),
-             {},
-             "",
-             0},
-            kPeerTimeout, [this, as_of](const HttpClient::Outcome& outcome) {
+      .Send(MakePeerStateRequest(false), kPeerTimeout,
+            [this, as_of](const HttpClient::Outcome& outcome) {
               if (outcome.response && outcome.response->status == 200) {
                 auto state = ParsePeerState(outcome.response->body);
                 if (state) {
@@ -110,7 +118,7 @@
 
 void Gateway::Impl::ApplyPeerState(PeerState state, BootTime as_of) {
   if (!state.store_reachable) return;
-  if (!state.config.empty()) ApplyConfig(state.config);
+  ApplyPeerConfig(state);
   if (state.endpoints && state.registry_offset >= registry_offset_) {
     registry_offset_ = state.registry_offset;
     OnRegistryChanges(registry_.OnListing(
@@ -122,15 +130,44 @@
   }
 }
 
-PeerStateRequest Gateway::Impl::MakePeerStateRequest(bool long_poll) const {
+void Gateway::Impl::ApplyPeerConfig(const PeerState& state) {
+  if (state.config_patch) {
+    auto text = configs_.Apply(*state.config_patch);
+    if (!text) {
+      accepts_patches_ = false;
+      return LogEvent(EventLevel::kError, "config_patch_rejected",
+                      static_cast<unsigned>(text.error().code),
+                      {{"detail", text.error().detail}});
+    }
+    ApplyConfig(text.value(), "patch");
+  } else if (!state.config.empty()) {
+    ApplyConfig(state.config, "peer");
+  }
+  config_offset_ = std::max(config_offset_, state.config_offset);
+}
+
+HttpRequest Gateway::Impl::MakePeerStateRequest(bool long_poll) const {
+  HttpRequest request{
+      "GET", FormatPeerStateRequest(MakePeerStateQuery(long_poll)), {}, "", 0};
+  if (accepts_patches_) request.headers.emplace_back(kAcceptPatchHeader, "1");
+  return request;
+}
+
+std::uint64_t Gateway::Impl::LeasesEnd() const {
+  std::uint64_t end = 0;
+  for (const auto& keeper : keepers_ | std::views::values) {
+    end = std::max(end, keeper->log_end());
+  }
+  return end;
+}
+
+PeerStateRequest Gateway::Impl::MakePeerStateQuery(bool long_poll) const {
   PeerStateRequest query;
   query.config_version = routes_ ? routes_->config().version : 0;
   // 0 requests any listing, even an empty one.
   query.endpoints_digest =
       registry_.loaded() ? EndpointsDigest(registry_.endpoints()) : 0;
-  for (const auto& keeper : keepers_ | std::views::values) {
-    query.leases_end = std::max(query.leases_end, keeper->log_end());
-  }
+  query.leases_end = LeasesEnd();
   query.long_poll = long_poll;
   return query;
 }
@@ -139,7 +176,7 @@
 // id. Returns nullopt if this gateway has to read the store itself, as the
 // leader or because no other one is usable.
 std::optional<GatewayInstance> Gateway::Impl::ReaderToFollow() const {
-  if (elected_ || stopping_) return std::nullopt;
+  if (elected_) return std::nullopt;
   const BootTime now = BootClock::now();
   const GatewayInstance* best = &self_;
   for (const GatewayInstance& gateway : gateways_ | std::views::values) {
@@ -162,17 +199,43 @@
   const BootTime as_of = BootClock::now();
   ClientOf(peer_clients_, reader->address)
       .Send(
-          {"GET",
-           FormatPeerStateRequest(MakePeerStateRequest(true)),
-           {},
-           "",
-           0},
-          kLongPollTime + kPeerTimeout,
+          MakePeerStateRequest(true), kLongPollTime + kPeerTimeout,
           [this, reader = *reader, as_of](const HttpClient::Outcome& outcome) {
             OnFollowResult(reader, outcome, as_of);
           });
 }
 
+// Returns how many gateways of the data centre take over reading before this
+// one.
+std::size_t Gateway::Impl::PlaceAmongReaders() const {
+  return static_cast<std::size_t>(std::ranges::count_if(
+      gateways_ | std::views::values, [this](const GatewayInstance& gateway) {
+        return gateway.data_centre == self_.data_centre &&
+               gateway.id < self_.id;
+      }));
+}
+
+// reached: the reader responded, but does not read the store.
+void Gateway::Impl::OnReaderFailed(const GatewayInstance& reader, bool reached,
+                                   const std::string& detail) {
+  const BootTime now = BootClock::now();
+  const auto without =
+      now - without_reader_since_.emplace(without_reader_since_.value_or(now));
+  // Gateways that start together are not all ready at the same time.
+  const bool starting =
+      !reads_store_ && reader_.empty() && now - started_ < kReaderStartTimeout;
+  // A gateway that responds may be about to take over.
+  if (!starting && (!reached || without >= kTakeoverTime)) {
+    avoided_readers_[reader.id] = now + kAvoidReaderTime;
+  }
+  if (!reads_store_ && without >= kReaderLostTime) {
+    OnStoreResult(false, detail);
+  }
+  const auto patience =
+      kTakeoverTime + kDirectReadStagger * PlaceAmongReaders();
+  if (without >= patience) ReadDirectly(detail);
+}
+
 void Gateway::Impl::OnFollowResult(const GatewayInstance& reader,
                                    const HttpClient::Outcome& outcome,
                                    BootTime as_of) {
@@ -180,18 +243,13 @@
                    ? ParsePeerState(outcome.response->body)
                    : Result<PeerState>(Error{ResultCode::kPeerUnreachable,
                                              outcome.error.detail});
-  if (!state || !state.value().store_reachable || stopping_) {
-    // Gateways that start together are not all ready at the same time.
-    const bool starting = !reads_store_ && reader_.empty() && !stopping_ &&
-                          BootClock::now() - started_ < kReaderStartTimeout;
-    if (starting) {
-      return RunAfter(follow_timer_, kFollowPause, [this] { FollowReader(); });
-    }
-    avoided_readers_[reader.id] = BootClock::now() + kAvoidReaderTime;
-    ReadDirectly(state ? "reader cannot reach the store"
-                       : state.error().detail);
+  if (!state || !state.value().store_reachable) {
+    OnReaderFailed(
+        reader, static_cast<bool>(state),
+        state ? "reader does not read the store" : state.error().detail);
     return RunAfter(follow_timer_, kFollowPause, [this] { FollowReader(); });
   }
+  without_reader_since_.reset();
   OnStoreResult(true, "");
   ApplyPeerState(std::move(state.value()), as_of);
   if (!elected_ && std::exchange(reader_, reader.id) != reader.id) {
@@ -210,9 +268,10 @@
   LogInfo("reading_directly",
           {{"before", reader_}, {"reason", std::string(reason)}});
   reader_.clear();
-  config_follower_->Resume();
+  without_reader_since_.reset();
+  config_follower_->Resume(config_offset_);
   registry_follower_->Resume(registry_offset_);
-  leases_follower_->Resume();
+  leases_follower_->Resume(LeasesEnd());
 }
 
 // Responds to long polls whose deadline has passed; all: also to the others. As
@@ -222,24 +281,34 @@
   const bool known = registry_.loaded() && routes_ != nullptr;
   const BootTime now = BootClock::now();
   for (LongPoll& poll : std::exchange(long_polls_, {})) {
-    if ((all && (known || store_failures_ > 0)) || poll.deadline <= now) {
-      poll.respond(MakePeerStateResponse(poll.query));
+    const bool answerable = known || store_lost_ || stopping_;
+    if ((all && answerable) || poll.deadline <= now) {
+      poll.respond(MakePeerStateResponse(poll.query, poll.accepts_patch));
     } else {
       long_polls_.push_back(std::move(poll));
     }
   }
 }
 
-HttpResponse Gateway::Impl::MakePeerStateResponse(
-    const PeerStateRequest& query) {
+HttpResponse Gateway::Impl::MakePeerStateResponse(const PeerStateRequest& query,
+                                                  bool accepts_patch) {
   PeerState state;
   // State that came from a third gateway is not passed on: without
-  // store_reachable the receiver ignores the response.
+  // store_reachable the receiver ignores the response. A gateway that stops is
+  // left while it can still respond.
   state.store_reachable =
-      store_failures_ == 0 && registry_.loaded() && reads_store_;
+      !store_lost_ && registry_.loaded() && reads_store_ && !stopping_;
+  if (!state.store_reachable && query.long_poll) {
+    return {200, {}, SerializePeerState(state)};
+  }
   if (routes_ && routes_->config().version > query.config_version) {
-    state.config = config_text_;
+    if (accepts_patch) {
+      state.config_patch = configs_.PatchFrom(query.config_version);
+    } else {
+      state.config = configs_.newest();
+    }
   }
+  state.config_offset = config_offset_;
   state.registry_offset = registry_offset_;
   if (EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
     state.endpoints = registry_.endpoints();
@@ -247,8 +316,8 @@
   const BootTime now = BootClock::now();
   // Without a keeper, this gateway has not read the leases.
   BootTime confirmed = keepers_.empty() ? BootTime{} : now;
+  state.leases_end = LeasesEnd();
   for (const auto& keeper : keepers_ | std::views::values) {
-    state.leases_end = std::max(state.leases_end, keeper->log_end());
     confirmed = std::min(confirmed, keeper->confirmed_at());
     if (keeper->table().version > query.leases_end) {
       state.tables.push_back(keeper->table());
@@ -300,13 +369,18 @@
                                   const HttpServer::Respond& respond) {
   if (const auto query = ParsePeerStateRequest(request.target)) {
     const bool known = registry_.loaded() && routes_ != nullptr;
-    const bool due = store_failures_ > 0 || !reader_.empty() ||
-                     (known && MakePeerStateRequest(false) !=
+    const bool accepts_patch =
+        !FindHeader(request.headers, kAcceptPatchHeader).empty();
+    const bool due = store_lost_ || !reader_.empty() || stopping_ ||
+                     (known && MakePeerStateQuery(false) !=
                                    PeerStateRequest{query->config_version,
                                                     query->endpoints_digest,
                                                     query->leases_end, false});
-    if (!query->long_poll || due) return respond(MakePeerStateResponse(*query));
-    long_polls_.push_back({*query, respond, BootClock::now() + kLongPollTime});
+    if (!query->long_poll || due) {
+      return respond(MakePeerStateResponse(*query, accepts_patch));
+    }
+    long_polls_.push_back(
+        {*query, accepts_patch, respond, BootClock::now() + kLongPollTime});
     return;
   }
   if (request.target == kLeavingTarget) {
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -91,11 +91,12 @@
     LogInfo("store_regained", {});
   } else {
     metrics_.Add("store_failures_total", "", 1);
-    // Gateways that follow this one have to find another reader.
-    if (++store_failures_ == 1) RespondToLongPolls(true);
+    ++store_failures_;
     RequestPeerState();
     if (store_failures_ < kStoreLostFailures || store_lost_) return;
     store_lost_ = true;
+    // Gateways that follow this one have to find another reader.
+    RespondToLongPolls(true);
     registry_.OnStoreLost();
     LogEvent(
         EventLevel::kWarning, "store_lost",
@@ -110,12 +111,13 @@
 void Gateway::Impl::OnConfigPage(const LogPage& page) {
   for (const KeyedRecord& record : page.records) {
     if (record.key == parsers_.config_key && record.value) {
-      ApplyConfig(*record.value);
+      ApplyConfig(*record.value, "store");
     }
   }
+  config_offset_ = std::max(config_offset_, page.next);
 }
 
-void Gateway::Impl::ApplyConfig(const std::string& text) {
+void Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
   auto config = parsers_.config(text);
   if (!config) {
     metrics_.Add("configs_rejected_total", "", 1);
@@ -129,7 +131,7 @@
     return LogInfo("config_ignored", {{"version", std::to_string(version)},
                                       {"current", std::to_string(current)}});
   }
-  config_text_ = text;
+  configs_.Add(version, text);
   routes_ = std::make_shared<const RouteTable>(std::move(config.value()));
   ApplyLimits();
   forwarder_.SetRoutes(routes_);
@@ -142,6 +144,8 @@
   LogInfo("config_in_force",
           {{"version", std::to_string(version)},
            {"before", std::to_string(current)},
+           {"source", source},
+           {"bytes", std::to_string(text.size())},
            {"routes", std::to_string(routes_->config().routes.size())}});
 }
 
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -97,6 +97,12 @@
   schema::PeerStateRecord record;
   record.set_store_reachable(state.store_reachable);
   record.set_config(state.config);
+  if (state.config_patch) {
+    record.set_config_patch(state.config_patch->patch.bytes);
+    record.set_config_base(state.config_patch->base_version);
+    record.set_config_digest(state.config_patch->patch.digest);
+  }
+  record.set_config_offset(state.config_offset);
   record.set_registry_offset(state.registry_offset);
   record.set_has_endpoints(state.endpoints.has_value());
   if (state.endpoints) {
@@ -125,6 +131,11 @@
   PeerState state;
   state.store_reachable = record.store_reachable();
   state.config = record.config();
+  if (!record.config_patch().empty()) {
+    state.config_patch = {record.config_base(),
+                          {record.config_patch(), record.config_digest()}};
+  }
+  state.config_offset = record.config_offset();
   state.registry_offset = record.registry_offset();
   if (record.has_endpoints()) {
     state.endpoints.emplace();
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -12,6 +12,7 @@
 #include "core/result_code.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
+#include "gateway/text_patch.h"
 
 namespace balsamhall::gateway {
 
@@ -27,9 +28,20 @@
   bool operator==(const PeerStateRequest&) const = default;
 };
 
+// A configuration as the difference from the text of another version, or from
+// an empty text if that is 0.
+struct ConfigPatch {
+  std::uint64_t base_version = 0;
+  TextPatch patch;
+};
+
 struct PeerState {
   bool store_reachable = false;
-  std::string config;  // as the operator wrote it; empty if not newer
+  // Both are empty if the requesting gateway has the newest one.
+  std::string config;  // as the operator wrote it
+  std::optional<ConfigPatch> config_patch;
+  // Offset from which later configurations are read; 0: unknown.
+  std::uint64_t config_offset = 0;
   // Offset up to which the registry's log was read.
   std::uint64_t registry_offset = 0;
   // Empty if the requesting gateway has the same endpoints.
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -62,7 +62,9 @@
 
   void Resume(std::uint64_t min_offset) {
     if (!std::exchange(paused_, false)) return;
-    if (next_) next_ = std::max(*next_, min_offset);
+    if (next_ || min_offset > 0) {
+      next_ = std::max(next_.value_or(0), min_offset);
+    }
     if (!reading_) Read();
   }
 
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -39,8 +39,9 @@
   StoreFollower& operator=(const StoreFollower&) = delete;
 
   // Starts reading, or continues from the last known offset. A higher
-  // min_offset skips records that another source has already delivered. No
-  // effect unless paused, as at the start.
+  // min_offset skips records that another source has already delivered, at the
+  // start the newest record of each key as well. No effect unless paused, as at
+  // the start.
   void Resume(std::uint64_t min_offset = 0);
   // Starts no further reads until Resume; a read in progress is still
   // delivered.
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -71,6 +71,7 @@
     memory_ = std::move(memory);
   }
   void Reserve(std::size_t bytes) { text_.reserve(bytes); }
+  std::size_t size() const { return text_.size(); }
   // Returns false if there is no memory left.
   bool Append(std::string_view bytes) {
     if (memory_ && !memory_->Take(bytes.size(), text_.size())) return false;
@@ -212,6 +213,9 @@
              Callback done);
   void SetTimer(Clock::time_point deadline);
   void OnTimeout();
+  // Extends the time-out of an answer whose body has grown since the last one.
+  // Returns false if it may not be read on.
+  bool ReadOn();
   void Write();
   void OnWritten(error_code error, std::size_t bytes);
   void Read();
@@ -236,6 +240,8 @@
   std::string head_;
   Callback done_;
   Clock::time_point deadline_;
+  // Body bytes at the last time-out of this exchange.
+  std::size_t bytes_at_timeout_ = 0;
   Clock::time_point idle_since_;
   Milliseconds idle_limit_{0};
   std::uint64_t exchange_ = 0;
@@ -261,6 +267,7 @@
   write_failed_ = false;
   skipped_answer_ = false;
   messages_read_over_ = 0;
+  bytes_at_timeout_ = 0;
   exchange_ = id;
 }
 
@@ -280,9 +287,24 @@
   if (stage_ == Stage::kConnecting) {
     return FinishFailed(HttpFailure::kNotSent, "connect timed out");
   }
+  if (ReadOn()) return;
   FinishFailed(HttpFailure::kTimeout, "no whole answer in time");
 }
 
+bool HttpClient::Impl::Connection::ReadOn() {
+  const Milliseconds interval = client_->options_.progress_interval;
+  if (interval.count() == 0 || stage_ != Stage::kReading) return false;
+  const std::size_t bytes = parser_->get().body().size();
+  const auto now = Clock::now();
+  if (bytes <= bytes_at_timeout_ ||
+      now + interval > deadline_ + client_->options_.max_reading_beyond) {
+    return false;
+  }
+  bytes_at_timeout_ = bytes;
+  SetTimer(now + interval);
+  return true;
+}
+
 void HttpClient::Impl::Connection::Connect(std::uint64_t id,
                                            HttpRequest request,
                                            Clock::time_point deadline,
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -55,6 +55,11 @@
   // An answer without a length ends with its connection; taken as whole only
   // if the server closed the connection in order.
   bool accept_unframed = false;
+  // An answer whose body still arrives at the time-out is read on, as long as
+  // bytes arrive within each interval of this length, up to
+  // max_reading_beyond. 0: never.
+  Milliseconds progress_interval{0};
+  Milliseconds max_reading_beyond{10'000};
   // An idle connection is reused only within this time, or less if the server
   // states a shorter one in Keep-Alive.
   Milliseconds max_idle{60'000};
--- a/Tests/Soak/loopback_proxy.cc
+++ b/Tests/Soak/loopback_proxy.cc
@@ -16,6 +16,8 @@
 
 // Far below the time-out of a lease call, which bounds how late one arrives.
 constexpr Milliseconds kDelay{60};
+// Time that a full buffer takes at 4 Mbit/s.
+constexpr Milliseconds kNarrowDelay{33};
 
 tcp::endpoint ParseAddress(const std::string& address) {
   const auto colon = address.rfind(':');
@@ -58,31 +60,32 @@
   }
 
   void Pump(tcp::socket& from, tcp::socket& to, Buffer& buffer, bool forward) {
-    from.async_read_some(
-        asio::buffer(buffer),
-        [this, self = shared_from_this(), forward, &from, &to, &buffer](
-            error_code error, std::size_t size) {
-          // An end in order is passed on as one.
-          if (error == asio::error::eof) {
-            error_code ignored;
-            to.shutdown(tcp::socket::shutdown_send, ignored);
-            return;
-          }
-          if (error) return Reset();
-          if (Held(forward)) return Pump(from, to, buffer, forward);  // dropped
-          const auto pass = [this, self, forward, size, &from, &to, &buffer] {
-            asio::async_write(to, asio::buffer(buffer.data(), size),
-                              [this, self, forward, &from, &to, &buffer](
-                                  error_code failed, std::size_t) {
-                                if (failed) return Reset();
-                                Pump(from, to, buffer, forward);
-                              });
-          };
-          if (fault_ != LinkFault::kDelay) return pass();
-          auto timer = std::make_shared<asio::steady_timer>(to.get_executor());
-          timer->expires_after(kDelay);
-          timer->async_wait([timer, pass](error_code) { pass(); });
-        });
+    from.async_read_some(asio::buffer(buffer), [this, self = shared_from_this(),
+                                                forward, &from, &to,
+                                                &buffer](error_code error,
+                                                         std::size_t size) {
+      // An end in order is passed on as one.
+      if (error == asio::error::eof) {
+        error_code ignored;
+        to.shutdown(tcp::socket::shutdown_send, ignored);
+        return;
+      }
+      if (error) return Reset();
+      if (Held(forward)) return Pump(from, to, buffer, forward);  // dropped
+      const auto pass = [this, self, forward, size, &from, &to, &buffer] {
+        asio::async_write(to, asio::buffer(buffer.data(), size),
+                          [this, self, forward, &from, &to, &buffer](
+                              error_code failed, std::size_t) {
+                            if (failed) return Reset();
+                            Pump(from, to, buffer, forward);
+                          });
+      };
+      const bool narrow = fault_ == LinkFault::kNarrow && size == buffer.size();
+      if (fault_ != LinkFault::kDelay && !narrow) return pass();
+      auto timer = std::make_shared<asio::steady_timer>(to.get_executor());
+      timer->expires_after(narrow ? kNarrowDelay : kDelay);
+      timer->async_wait([timer, pass](error_code) { pass(); });
+    });
   }
 
   tcp::socket caller_;
--- a/Tests/Soak/loopback_proxy.h
+++ b/Tests/Soak/loopback_proxy.h
@@ -18,6 +18,7 @@
   kReset,   // open and new connections are reset
   kSilent,  // nothing arrives, either way; connections stay open
   kOneWay,  // requests arrive, answers do not
+  kNarrow,  // each connection has 4 Mbit/s each way
 };
 
 // Bytes that a fault holds up are lost: connections that were open during a
--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -55,6 +55,11 @@
   return found == calls_.end() ? 0 : found->second;
 }
 
+std::size_t UsersStore::deliveries(const std::string& topic) const {
+  const auto found = deliveries_.find(topic);
+  return found == deliveries_.end() ? 0 : found->second;
+}
+
 HttpResponse UsersStore::Append(const HttpRequest& request) {
   const Target target(request.target);
   Topic& topic = topics_[target.Text("topic")];
@@ -69,7 +74,7 @@
   return JsonReply({{"offset", end}, {"end", end + 1}});
 }
 
-HttpResponse UsersStore::Newest(const std::string& name) const {
+HttpResponse UsersStore::Newest(const std::string& name) {
   json items = json::array();
   std::uint64_t end = 0;
   const auto found = topics_.find(name);
@@ -85,6 +90,7 @@
                        {"offset", offset}});
     }
   }
+  if (!items.empty()) ++deliveries_[name];
   return JsonReply({{"items", items}, {"more", false}, {"end", end}});
 }
 
@@ -100,6 +106,7 @@
       Read(name, from, wait_ms - static_cast<int>(kPoll.count()), respond);
     });
   }
+  if (from < end) ++deliveries_[name];
   std::string body = BigEndian(end, 8) + BigEndian(topic.first, 8);
   for (std::uint64_t i = from; i < end; ++i) {
     const Record& record = topic.records[i];
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -43,6 +43,8 @@
     silent_topics_ = std::move(topics);
   }
   std::size_t calls(const std::string& name) const;
+  // Responses with records of the topic.
+  std::size_t deliveries(const std::string& topic) const;
 
  private:
   struct Record {
@@ -57,7 +59,7 @@
   void OnRequest(const HttpRequest& request,
                  const HttpServer::Respond& respond);
   HttpResponse Append(const HttpRequest& request);
-  HttpResponse Newest(const std::string& topic) const;
+  HttpResponse Newest(const std::string& topic);
   void Read(const std::string& topic, std::uint64_t from, int wait_ms,
             const HttpServer::Respond& respond);
 
@@ -65,6 +67,7 @@
   HttpServer server_;
   std::map<std::string, Topic> topics_;
   std::map<std::string, std::size_t> calls_;
+  std::map<std::string, std::size_t> deliveries_;
   std::string member_;
   SteadyTime member_until_;
   std::uint64_t generation_ = 0;
--- a/Tests/UsersPlatform/gateway_path_test.cc
+++ b/Tests/UsersPlatform/gateway_path_test.cc
@@ -405,7 +405,8 @@
 
 struct StartCase {
   const char* name;
-  bool reader_is_gone;
+  bool first_reader_is_gone;
+  bool next_reader_is_gone;
   std::size_t newest_reads;
 };
 
@@ -415,9 +416,11 @@
 
 const StartCase kStarts[] = {
     // Reads only the list of gateways.
-    {"beside a gateway that reads the store", false, 1},
+    {"beside a gateway that reads the store", false, false, 1},
+    {"the first reader does not respond, the next one reads the store", true,
+     false, 1},
     // Also reads the configuration, the registry and the leases.
-    {"the gateway that should read the store does not respond", true, 4},
+    {"no other gateway responds", true, true, 4},
 };
 
 // After a power failure all gateways read the whole store over one link, and
@@ -425,11 +428,12 @@
 BOOST_DATA_TEST_CASE_F(GatewayFixture,
                        starting_gateway_reads_the_store_only_if_needed,
                        data::make(kStarts), start) {
-  if (start.reader_is_gone) {
+  if (start.first_reader_is_gone) {
     store.Put("keyed.balsamhall-routers", "gateway-0",
               gateway::SerializeGatewayInstance(
                   {"gateway-0", 1, addresses.Next(), "a"}));
   }
+  if (start.next_reader_is_gone) under_test.reset();
   const std::size_t before = store.calls("log-newest");
   const auto settings = Settings(addresses, "gateway-2", store_address);
   StoreClient client(loop, settings.store_address, Milliseconds(1'000));
--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersPlatform/gateway_peers_test.cc
@@ -8,7 +8,7 @@
 #include <optional>
 #include <ostream>
 
-#include "UsersPlatform/gateway_fixture.h"
+#include "UsersPlatform/fleet_fixture.h"
 #include "gateway/lease_keeper.h"
 #include "gateway/peer_state.h"
 
@@ -23,56 +23,6 @@
 constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
 constexpr const char* kLeasesTopic = "keyed.balsamhall-leases";
 
-struct FleetFixture : GatewayFixture {
-  // A gateway beside the one under test.
-  struct Other {
-    Other(FleetFixture& fixture, const std::string& id)
-        : settings(Settings(fixture.addresses, id, fixture.store_address)),
-          store(fixture.loop, fixture.store_address, Milliseconds(1'000)),
-          process(fixture.loop, settings, store, fixture.dialect,
-                  {kConfigKey, ParseOperatorConfig, ParseRegistryEntry}),
-          peer(fixture.loop, settings.peer_address, HttpClientOptions{}) {}
-
-    gateway::GatewaySettings settings;
-    StoreClient store;
-    gateway::Gateway process;
-    HttpClient peer;
-  };
-
-  std::optional<HttpResponse> Ask(Other& other, const HttpRequest& request) {
-    return Await<HttpClient::Outcome>(loop,
-                                      [&](auto done) {
-                                        other.peer.Send(
-                                            request, Milliseconds(500), done);
-                                      })
-        .response;
-  }
-
-  // What the gateway tells others about the store.
-  PeerState StateOf(Other& other) {
-    const auto response = Ask(other, {"GET", "/state/0/0/0", {}, "", 0});
-    if (!response) return {};
-    auto state = gateway::ParsePeerState(response->body);
-    BOOST_REQUIRE(state);
-    return std::move(state.value());
-  }
-
-  // The record under which a gateway is registered.
-  std::optional<GatewayInstance> Registered(const std::string& id) {
-    const auto result = Await<gateway::ReadResult>(loop, [&](auto done) {
-      store_client->ReadNewest(gateway::Log::kGateways, done);
-    });
-    if (!result.page) return std::nullopt;
-    for (const auto& record : result.page->records) {
-      if (record.key != id) continue;
-      auto instance = gateway::ParseGatewayInstance(id, *record.value);
-      BOOST_REQUIRE(instance);
-      return instance.value();
-    }
-    return std::nullopt;
-  }
-};
-
 // Guards against a gateway that goes on renewing an old lease table because a
 // restarted one at its reader's address confirmed it without having read any.
 BOOST_FIXTURE_TEST_CASE(a_reader_confirms_no_leases_that_it_has_not_read,
--- /dev/null
+++ b/Tests/UsersPlatform/large_configuration_test.cc
@@ -0,0 +1,103 @@
+// Configurations of thousands of routes on the way from the store to all
+// gateways, whose links are narrow.
+#include <boost/test/unit_test.hpp>
+#include <cstdio>
+#include <deque>
+#include <string>
+
+#include "Soak/loopback_proxy.h"
+#include "UsersPlatform/fleet_fixture.h"
+
+namespace balsamhall::platform {
+namespace {
+
+using soak::LinkFault;
+using soak::LoopbackProxy;
+
+constexpr const char* kConfigTopic = "keyed.op";
+constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
+// An accepted configuration has to be in force everywhere within this time.
+constexpr Milliseconds kConfigBound{2'500};
+// Longer than the pause of a store's waiting read, so that each direct reader
+// would have read.
+constexpr Milliseconds kSettled{3'000};
+constexpr int kManyRoutes = 4'300;
+constexpr int kFollowers = 6;
+
+// A configuration with the fixture's routes and as many others.
+std::string LargeConfig(const std::string& version, int routes) {
+  json config = Config(version);
+  for (int i = 0; i < routes; ++i) {
+    const std::string name = "added" + std::to_string(i * 7919 % 100'003);
+    config["routes"][name] = Route("/" + name + "/", "safe", "plain");
+  }
+  return config.dump();
+}
+
+struct LargeConfigFixture : FleetFixture {
+  // Whether the gateway knows a route that was added.
+  bool Serves(Other& gateway, const std::string& route) {
+    HttpClient caller(loop, gateway.settings.front_address,
+                      HttpClientOptions{});
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      caller.Send(Request("/" + route + "/x", "r" + std::to_string(++last_)),
+                  Milliseconds(1'000), done);
+    });
+    return outcome.response && outcome.response->status != 404U &&
+           outcome.response->status != 503U;
+  }
+
+  int last_ = 0;
+};
+
+// Guards against followers that give up a configuration which takes longer than
+// a call on their link, and then all read it from the store.
+BOOST_FIXTURE_TEST_CASE(
+    a_large_configuration_reaches_a_follower_on_a_narrow_link,
+    LargeConfigFixture) {
+  // The reader's data centre is another one, so that it does not follow itself.
+  LoopbackProxy link(loop, peer_address);
+  link.Set(LinkFault::kNarrow);
+  store.Put(
+      kGatewaysTopic, "gateway-0",
+      gateway::SerializeGatewayInstance({"gateway-0", 1, link.address(), "b"}));
+  Other follower(*this, "gateway-2", "b");
+  BOOST_REQUIRE(follower.process.Start());
+  BOOST_REQUIRE(RunUntil([&] { return Serves(follower, "read"); }));
+  RunFor(loop, kSettled);
+  const std::size_t before = store.deliveries(kConfigTopic);
+  store.Put(kConfigTopic, "config", LargeConfig("00000002", kManyRoutes));
+  BOOST_TEST(
+      RunUntil([&] { return Serves(follower, "added7919"); }, kConfigBound));
+  RunFor(loop, kSettled);
+  // The reader alone has read it from the store.
+  BOOST_TEST(store.deliveries(kConfigTopic) - before == 1U);
+}
+
+// Guards against followers that all read the store as soon as their reader is
+// gone, over one link.
+BOOST_FIXTURE_TEST_CASE(followers_of_a_lost_reader_follow_the_next_one,
+                        LargeConfigFixture) {
+  std::deque<Other> followers;
+  for (int i = 0; i < kFollowers; ++i) {
+    followers.emplace_back(*this, "gateway-" + std::to_string(i + 2));
+    BOOST_REQUIRE(followers.back().process.Start());
+  }
+  for (Other& follower : followers) {
+    BOOST_REQUIRE(RunUntil([&] { return Serves(follower, "read"); }));
+  }
+  RunFor(loop, kSettled);
+  const std::size_t before = store.deliveries(kConfigTopic);
+  under_test.reset();
+  store.Put(kConfigTopic, "config", LargeConfig("00000002", 1));
+  for (Other& follower : followers) {
+    BOOST_TEST(
+        RunUntil([&] { return Serves(follower, "added0"); }, kConfigBound));
+  }
+  RunFor(loop, kSettled);
+  // To the next reader, and to the read that the lost one had sent.
+  BOOST_TEST(store.deliveries(kConfigTopic) - before <= 2U);
+}
+
+}  // namespace
+}  // namespace balsamhall::platform
