Read what has arrived before ending an idle connection

Callers saw a request on a kept connection end without an answer and without a refusal, 0.2 to 0.4 s after they had sent it (LOST), during planned stops and beside large configurations.

The same holds for heads and bodies whose time-out passes during such a turn.

The wait for a request is now cancelled, and the handler of the cancelled read decides: a read that had completed, or bytes that wait in the socket, are read.

--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -122,6 +122,12 @@
   void ReadBody();
   void OnRequest();
   void OnReadError(error_code error);
+  // Whether bytes have arrived that this session has not read.
+  bool HasUnreadInput() const;
+  // Ends the wait for a request. The connection is closed unless one has
+  // arrived meanwhile.
+  void EndIdle();
+  void CloseUnlessRequested();
   void Refuse(unsigned status, ResultCode code, const std::string& detail);
   void Write(HttpResponse response);
   void OnWritten(error_code error);
@@ -129,6 +135,7 @@
   void Enter(State state) {
     state_ = state;
     entered_ = Clock::now();
+    postponed_ = false;
   }
   HttpRequest TakeHead();
 
@@ -149,6 +156,10 @@
   bool keep_alive_ = true;
   bool skip_body_ = false;
   bool active_ = false;
+  // The wait for a request was cancelled, and its handler has not run yet.
+  bool ending_idle_ = false;
+  // The deadline of this state has passed, but there was unread input.
+  bool postponed_ = false;
 };
 
 Clock::time_point HttpServer::Impl::Session::Deadline() const {
@@ -182,6 +193,11 @@
 void HttpServer::Impl::Session::OnWatched(error_code error, std::size_t bytes) {
   watching_ = false;
   if (!socket_.is_open()) return;
+  const bool ending_idle = std::exchange(ending_idle_, false);
+  if (error == asio::error::operation_aborted && ending_idle) {
+    read_head_next_ = false;
+    return CloseUnlessRequested();
+  }
   if (error) {
     if (state_ == State::kHandling && server_->abort_handler_) {
       server_->abort_handler_(number_);
@@ -230,6 +246,10 @@
 
 void HttpServer::Impl::Session::OnHead(error_code error) {
   if (!socket_.is_open()) return;
+  const bool ending_idle = std::exchange(ending_idle_, false);
+  if (error == asio::error::operation_aborted && ending_idle) {
+    return CloseUnlessRequested();
+  }
   if (error) return OnReadError(error);
   keep_alive_ = parser_->get().keep_alive();
   if (server_->head_filter_) {
@@ -358,22 +378,44 @@
       });
 }
 
+bool HttpServer::Impl::Session::HasUnreadInput() const {
+  error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
+// A read may have completed although its handler has not run: only the handler
+// of the cancelled read knows.
+void HttpServer::Impl::Session::EndIdle() {
+  ending_idle_ = true;
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void HttpServer::Impl::Session::CloseUnlessRequested() {
+  if (buffer_.size() == 0 && !HasUnreadInput()) return Close();
+  StartReadHead();
+}
+
 void HttpServer::Impl::Session::CheckDeadline(Clock::time_point now,
                                               bool grace_over) {
-  if (state_ == State::kIdle) {
-    if (buffer_.size() > 0) {  // a part of the header has arrived
-      Enter(State::kHead);
-    } else if (grace_over) {
-      return Close();
-    }
+  if (state_ == State::kIdle && buffer_.size() > 0) {
+    Enter(State::kHead);  // a part of the header has arrived
   }
-  if (now < Deadline()) return;
+  const bool end_idle = state_ == State::kIdle && grace_over;
+  if (now < Deadline() && !end_idle) return;
   switch (state_) {
     case State::kIdle:
-      server_->Fault(ResultCode::kNotRunDeadline, "idle connection closed");
-      break;
+      if (!end_idle) {
+        server_->Fault(ResultCode::kNotRunDeadline, "idle connection closed");
+      }
+      return EndIdle();
     case State::kHead:
     case State::kBody:
+      // The loop may have been busy for longer than the caller.
+      if (!postponed_ && HasUnreadInput()) {
+        postponed_ = true;
+        return;
+      }
       server_->Fault(ResultCode::kNotRunDeadline,
                      "request not received in time");
       break;
