--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -44,7 +44,7 @@
       parsers_(std::move(parsers)),
       started_(BootClock::now()),
       self_{settings_.id, ProcessIncarnation(), settings_.peer_address,
-            settings_.data_centre},
+            settings_.data_centre, settings_.link_mbps},
       notices_(settings_.drain),
       forwarder_(loop, settings_, dialect, notices_, metrics_),
       tick_timer_(loop),
@@ -214,6 +214,7 @@
   const Milliseconds give_up = settings_.stop_grace - kStopReserve;
   forwarder_.SetStopping(now + kDrainDelay, now + give_up);
   front_server_->AnnounceClose();
+  RespondToLongPolls(true);
   for (auto& keeper : keepers_ | std::views::values) keeper->Stop();
   if (UsesLeases()) store_.LeaveLeaderElection(settings_.id, [] {});
   const auto finish = [this] {
