--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -411,8 +411,8 @@
       return EndIdle();
     case State::kHead:
     case State::kBody:
-      // The loop may have been busy for longer than the caller.
-      if (!postponed_ && HasUnreadInput()) {
+      // What has arrived may not have been read, because the loop was busy.
+      if (!postponed_) {
         postponed_ = true;
         return;
       }
