Leave a reader that cannot read a log, and keep a healthy one

Callers saw configurations that reached a data centre late, and links full of state that nobody used. Found by review of the bounded fall-back:

- A gateway that follows another one sent its whole configuration and list of endpoints to a requester that discards them, again every 0.4 s for each gateway without a reader.
It sends neither now.
- A reader whose reads of one log failed was followed on, because each success at another log reset the count.
Failures count for each log now.
- A follower whose reader was well waited 1.5 s for one that ranks before it and had not begun to read.
It waits only when its own reader is lost.
- After the return of the first reader, followers that had left it before did not learn that it reads again for up to 5 s.
A follower names its reader.
- A follower waited for up to 0.5 s for each gateway before it, without a limit; now for 3 s at most.
A peer that sends a byte now and then holds it for 2 s at most beyond the time-out, in place of 10 s.
- A new reader confirms leases at once, and takes the registry as a whole if it has never read it: another gateway's list may have endpoints whose removal was deferred.
A configuration that could not be parsed is not skipped over.
- Errors of libzstd lead to whole texts.

a_follower_sends_no_configurations and a_reader_of_an_unreadable_log_is_left failed before. The other points have no test of their own.

--- a/Source/gateway/config_history.cc
+++ b/Source/gateway/config_history.cc
@@ -23,16 +23,19 @@
   return texts_.empty() ? kEmpty : texts_.rbegin()->second;
 }
 
-const ConfigPatch& ConfigHistory::PatchFrom(std::uint64_t version) {
+const ConfigPatch* ConfigHistory::PatchFrom(std::uint64_t version) {
   const auto base = texts_.find(version);
   const std::uint64_t base_version = base == texts_.end() ? 0 : version;
-  const auto [entry, is_new] = patches_.try_emplace(base_version);
-  if (is_new) {
-    const std::string_view text =
-        base == texts_.end() ? std::string_view() : base->second;
-    entry->second = {base_version, MakeTextPatch(text, newest())};
-  }
-  return entry->second;
+  const auto known = patches_.find(base_version);
+  if (known != patches_.end()) return &known->second;
+  const std::string_view text =
+      base == texts_.end() ? std::string_view() : base->second;
+  auto patch = MakeTextPatch(text, newest());
+  if (!patch) return nullptr;
+  return &patches_
+              .emplace(base_version,
+                       ConfigPatch{base_version, std::move(*patch)})
+              .first->second;
 }
 
 Result<std::string> ConfigHistory::Apply(const ConfigPatch& patch) const {
--- a/Source/gateway/config_history.h
+++ b/Source/gateway/config_history.h
@@ -23,7 +23,8 @@
 
   // Returns the newest text as the difference from a version that another
   // gateway has, or from an empty text if this history no longer has that one.
-  const ConfigPatch& PatchFrom(std::uint64_t version);
+  // Valid until the next Add; nullptr if there is not enough memory.
+  const ConfigPatch* PatchFrom(std::uint64_t version);
 
   // Returns the text that a patch makes. kPeerFrameMalformed: this history
   // lacks the patch's base, or the patch is malformed.
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -36,6 +36,9 @@
 // Time-out of a call to another gateway.
 inline constexpr Milliseconds kPeerTimeout{400};
 inline constexpr Milliseconds kReportInterval{1'000};
+// Number of consecutive failures after which the store counts as lost; a single
+// lost response says little.
+inline constexpr int kStoreLostFailures = 2;
 // The gateways of a fleet start together; after this time all have registered,
 // and their log is read again.
 inline constexpr Milliseconds kGatewaysRereadDelay{2'500};
@@ -86,8 +89,9 @@
   // Records whether a call to the store succeeded.
   void OnStoreResult(bool success, const std::string& detail);
   void OnConfigPage(const LogPage& page);
-  // source: for the log.
-  void ApplyConfig(const std::string& text, const char* source);
+  // Returns false if the text is not a valid configuration. source: for the
+  // log.
+  bool ApplyConfig(const std::string& text, const char* source);
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
@@ -136,6 +140,9 @@
   PeerStateRequest MakePeerStateQuery(bool long_poll) const;
   HttpRequest MakePeerStateRequest(bool long_poll) const;
   void ApplyPeerConfig(const PeerState& state);
+  bool ReadsStore() const;
+  void AddConfig(const PeerStateRequest& query, bool accepts_patch,
+                 PeerState& state);
   std::uint64_t LeasesEnd() const;
   std::optional<GatewayInstance> ReaderToFollow() const;
   std::size_t PlaceAmongReaders() const;
@@ -224,7 +231,9 @@
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer give_up_timer_;
 
-  int store_failures_ = 0;  // in a row
+  int store_failures_ = 0;           // in a row
+  std::map<Log, int> log_failures_;  // in a row, of each log
+  bool registry_read_ = false;       // from the store at least once
   bool store_lost_ = false;
   bool elected_ = false;
   bool stopping_ = false;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -33,9 +33,12 @@
 // a large configuration would fill the link that they share.
 constexpr Milliseconds kTakeoverTime{1'500};
 constexpr Milliseconds kDirectReadStagger{500};
+// An accepted configuration has to be in force soon after this time.
+constexpr Milliseconds kMaxWithoutReader{3'000};
 // Time without any further bytes after which a response that is late is given
 // up. A configuration takes long on a slow link, and would start anew.
 constexpr Milliseconds kProgressInterval{400};
+constexpr Milliseconds kMaxReadingBeyond{2'000};
 constexpr Milliseconds kConnectTimeout{250};
 // Age of leases that were never read: far above LeaseKeeper::kMaxViewAge. The
 // time since the VM started would not do, because it may be short.
@@ -75,6 +78,7 @@
     HttpClientOptions options;
     options.connect_timeout = kConnectTimeout;
     options.progress_interval = kProgressInterval;
+    options.max_reading_beyond = kMaxReadingBeyond;
     client = std::make_unique<HttpClient>(loop_, address, options);
   }
   return *client;
@@ -145,9 +149,9 @@
                       static_cast<unsigned>(text.error().code),
                       {{"detail", text.error().detail}});
     }
-    ApplyConfig(text.value(), "patch");
+    if (!ApplyConfig(text.value(), "patch")) return;
   } else if (!state.config.empty()) {
-    ApplyConfig(state.config, "peer");
+    if (!ApplyConfig(state.config, "peer")) return;
   }
   config_offset_ = std::max(config_offset_, state.config_offset);
 }
@@ -236,16 +240,23 @@
   // Gateways that start together are not all ready at the same time.
   const bool starting =
       !reads_store_ && reader_.empty() && now - started_ < kReaderStartTimeout;
-  const bool waits_for_it =
-      may_take_over && now - next_reader_since_ < kTakeoverTime;
+  // The gateway that was followed until now does not take over, and nobody does
+  // while that one is well.
+  const auto left = avoided_readers_.find(reader_);
+  const bool reader_lost =
+      reader_.empty() || (left != avoided_readers_.end() && left->second > now);
+  const bool waits_for_it = may_take_over && reader_lost &&
+                            reader.id != reader_ &&
+                            now - next_reader_since_ < kTakeoverTime;
   if (!starting && !waits_for_it) {
     avoided_readers_[reader.id] = now + kAvoidReaderTime;
   }
   if (!reads_store_ && without >= kReaderLostTime) {
     OnStoreResult(false, detail);
   }
-  const auto patience =
-      kTakeoverTime + kDirectReadStagger * PlaceAmongReaders();
+  const Milliseconds patience = std::min<Milliseconds>(
+      kTakeoverTime + kDirectReadStagger * PlaceAmongReaders(),
+      kMaxWithoutReader);
   if (without >= patience) ReadDirectly(detail);
 }
 
@@ -257,6 +268,8 @@
                    : Result<PeerState>(Error{ResultCode::kPeerUnreachable,
                                              outcome.error.detail});
   if (!state || !state.value().store_reachable) {
+    // It was avoided when it had not taken over yet.
+    if (state) avoided_readers_.erase(state.value().reader);
     OnReaderFailed(
         reader, state && !state.value().stopping,
         state ? "reader does not read the store" : state.error().detail);
@@ -267,6 +280,8 @@
   OnStoreResult(true, "");
   ApplyPeerState(std::move(state.value()), as_of);
   if (!elected_ && std::exchange(reader_, reader.id) != reader.id) {
+    // Those that follow this gateway learn its reader.
+    RespondToLongPolls(true);
     LogInfo("following", {{"reader", reader.id}});
     reads_store_ = false;
     for (const auto* follower :
@@ -284,8 +299,14 @@
   reader_.clear();
   without_reader_since_.reset();
   config_follower_->Resume(config_offset_);
-  registry_follower_->Resume(registry_offset_);
+  // A list of another gateway may have endpoints whose removal was deferred.
+  if (registry_read_) {
+    registry_follower_->Resume(registry_offset_);
+  } else {
+    registry_follower_->Resume();
+  }
   leases_follower_->Resume(LeasesEnd());
+  leases_follower_->ReadNow();
 }
 
 // Responds to long polls whose deadline has passed; all: also to the others. As
@@ -295,7 +316,8 @@
   const bool known = registry_.loaded() && routes_ != nullptr;
   const BootTime now = BootClock::now();
   for (LongPoll& poll : std::exchange(long_polls_, {})) {
-    const bool answerable = known || store_lost_ || stopping_;
+    const bool answerable =
+        known || store_lost_ || stopping_ || !reader_.empty();
     if ((all && answerable) || poll.deadline <= now) {
       poll.respond(MakePeerStateResponse(poll.query, poll.accepts_patch));
     } else {
@@ -304,6 +326,27 @@
   }
 }
 
+// Returns whether this gateway reads the store, and none of its logs fails.
+bool Gateway::Impl::ReadsStore() const {
+  return !store_lost_ && registry_.loaded() && reads_store_ &&
+         std::ranges::none_of(
+             log_failures_ | std::views::values,
+             [](int failures) { return failures >= kStoreLostFailures; });
+}
+
+void Gateway::Impl::AddConfig(const PeerStateRequest& query, bool accepts_patch,
+                              PeerState& state) {
+  state.config_offset = config_offset_;
+  if (!routes_ || routes_->config().version <= query.config_version) return;
+  const ConfigPatch* const patch =
+      accepts_patch ? configs_.PatchFrom(query.config_version) : nullptr;
+  if (patch != nullptr) {
+    state.config_patch = *patch;
+  } else {
+    state.config = configs_.newest();
+  }
+}
+
 HttpResponse Gateway::Impl::MakePeerStateResponse(const PeerStateRequest& query,
                                                   bool accepts_patch) {
   PeerState state;
@@ -311,21 +354,12 @@
   // store_reachable the receiver ignores the response. A gateway that stops is
   // left while it can still respond.
   state.stopping = stopping_;
-  state.store_reachable =
-      !store_lost_ && registry_.loaded() && reads_store_ && !stopping_;
-  if (!state.store_reachable && query.long_poll) {
-    return {200, {}, SerializePeerState(state)};
-  }
-  if (routes_ && routes_->config().version > query.config_version) {
-    if (accepts_patch) {
-      state.config_patch = configs_.PatchFrom(query.config_version);
-    } else {
-      state.config = configs_.newest();
-    }
-  }
-  state.config_offset = config_offset_;
+  state.reader = reader_;
+  state.store_reachable = ReadsStore() && !stopping_;
+  if (state.store_reachable) AddConfig(query, accepts_patch, state);
   state.registry_offset = registry_offset_;
-  if (EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
+  if (state.store_reachable &&
+      EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
     state.endpoints = registry_.endpoints();
   }
   const BootTime now = BootClock::now();
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -19,9 +19,6 @@
 // A healthy store returns the list of gateways sooner; a start must not wait
 // for an unhealthy one.
 constexpr Milliseconds kGatewaysTimeout{500};
-// Number of consecutive failures after which the store counts as lost; a single
-// lost response says little.
-constexpr int kStoreLostFailures = 2;
 
 std::string ChangeName(EndpointRegistry::Change::Kind kind) {
   using Kind = EndpointRegistry::Change::Kind;
@@ -47,12 +44,19 @@
                              StoreFollower::PageHandler handler) {
     return std::make_unique<StoreFollower>(
         loop_, store_, options,
-        [this, handler = std::move(handler)](const LogPage& page,
-                                             BootTime as_of) {
+        [this, log = options.log, handler = std::move(handler)](
+            const LogPage& page, BootTime as_of) {
+          log_failures_[log] = 0;
           OnStoreResult(true, "");
           handler(page, as_of);
         },
-        [this](const std::string& detail) { OnStoreResult(false, detail); });
+        [this, log = options.log](const std::string& detail) {
+          // Successes at other logs do not help those that follow this gateway.
+          if (++log_failures_[log] == kStoreLostFailures) {
+            RespondToLongPolls(true);
+          }
+          OnStoreResult(false, detail);
+        });
   };
   config_follower_ =
       follow({Log::kOperatorConfig, kConfigWait, Milliseconds(0)},
@@ -109,27 +113,30 @@
 }
 
 void Gateway::Impl::OnConfigPage(const LogPage& page) {
+  bool valid = true;
   for (const KeyedRecord& record : page.records) {
     if (record.key == parsers_.config_key && record.value) {
-      ApplyConfig(*record.value, "store");
+      valid = ApplyConfig(*record.value, "store");
     }
   }
-  config_offset_ = std::max(config_offset_, page.next);
+  if (valid) config_offset_ = std::max(config_offset_, page.next);
 }
 
-void Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
+bool Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
   auto config = parsers_.config(text);
   if (!config) {
     metrics_.Add("configs_rejected_total", "", 1);
-    return LogEvent(EventLevel::kError, "config_rejected",
-                    static_cast<unsigned>(config.error().code),
-                    {{"detail", config.error().detail}});
+    LogEvent(EventLevel::kError, "config_rejected",
+             static_cast<unsigned>(config.error().code),
+             {{"detail", config.error().detail}});
+    return false;
   }
   const auto version = config.value().version;
   const auto current = routes_ ? routes_->config().version : 0;
   if (routes_ && version <= current) {
-    return LogInfo("config_ignored", {{"version", std::to_string(version)},
-                                      {"current", std::to_string(current)}});
+    LogInfo("config_ignored", {{"version", std::to_string(version)},
+                               {"current", std::to_string(current)}});
+    return true;
   }
   configs_.Add(version, text);
   routes_ = std::make_shared<const RouteTable>(std::move(config.value()));
@@ -147,6 +154,7 @@
            {"source", source},
            {"bytes", std::to_string(text.size())},
            {"routes", std::to_string(routes_->config().routes.size())}});
+  return true;
 }
 
 void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
@@ -195,6 +203,7 @@
       }
     }
   }
+  registry_read_ = true;
   registry_offset_ = page.next;
   OnRegistryChanges(changes);
 }
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -97,6 +97,7 @@
   schema::PeerStateRecord record;
   record.set_store_reachable(state.store_reachable);
   record.set_stopping(state.stopping);
+  record.set_reader(state.reader);
   record.set_config(state.config);
   if (state.config_patch) {
     record.set_config_patch(state.config_patch->patch.bytes);
@@ -132,6 +133,7 @@
   PeerState state;
   state.store_reachable = record.store_reachable();
   state.stopping = record.stopping();
+  state.reader = record.reader();
   state.config = record.config();
   if (!record.config_patch().empty()) {
     state.config_patch = {record.config_base(),
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -38,6 +38,7 @@
 struct PeerState {
   bool store_reachable = false;
   bool stopping = false;
+  RouterId reader;  // that the gateway follows; empty if it reads the store
   // Both are empty if the requesting gateway has the newest one.
   std::string config;  // as the operator wrote it
   std::optional<ConfigPatch> config_patch;
--- a/Source/gateway/text_patch.cc
+++ b/Source/gateway/text_patch.cc
@@ -32,9 +32,11 @@
 
 }  // namespace
 
-TextPatch MakeTextPatch(std::string_view base, std::string_view text) {
+std::optional<TextPatch> MakeTextPatch(std::string_view base,
+                                       std::string_view text) {
   const std::unique_ptr<ZSTD_CCtx, decltype(&ZSTD_freeCCtx)> context(
       ZSTD_createCCtx(), &ZSTD_freeCCtx);
+  if (!context) return std::nullopt;
   ZSTD_CCtx_setParameter(context.get(), ZSTD_c_compressionLevel,
                          kCompressionLevel);
   ZSTD_CCtx_setParameter(context.get(), ZSTD_c_windowLog,
@@ -43,9 +45,11 @@
   ZSTD_CCtx_refPrefix(context.get(), base.data(), base.size());
   TextPatch patch{std::string(ZSTD_compressBound(text.size()), '\0'),
                   Digest(text)};
-  patch.bytes.resize(ZSTD_compress2(context.get(), patch.bytes.data(),
-                                    patch.bytes.size(), text.data(),
-                                    text.size()));
+  const auto written =
+      ZSTD_compress2(context.get(), patch.bytes.data(), patch.bytes.size(),
+                     text.data(), text.size());
+  if (ZSTD_isError(written) != 0U) return std::nullopt;
+  patch.bytes.resize(written);
   return patch;
 }
 
@@ -60,6 +64,7 @@
   if (bytes > max_bytes) return Malformed("patched text too long");
   const std::unique_ptr<ZSTD_DCtx, decltype(&ZSTD_freeDCtx)> context(
       ZSTD_createDCtx(), &ZSTD_freeDCtx);
+  if (!context) return Malformed("no memory for the patch");
   ZSTD_DCtx_setParameter(context.get(), ZSTD_d_windowLogMax, kMaxWindowLog);
   ZSTD_DCtx_refPrefix(context.get(), base.data(), base.size());
   std::string text(bytes, '\0');
--- a/Source/gateway/text_patch.h
+++ b/Source/gateway/text_patch.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -21,7 +22,10 @@
 };
 
 // Both functions are thread-safe. base: may be empty.
-TextPatch MakeTextPatch(std::string_view base, std::string_view text);
+
+// Returns nullopt if there is not enough memory.
+std::optional<TextPatch> MakeTextPatch(std::string_view base,
+                                       std::string_view text);
 
 // Returns kPeerFrameMalformed for other bytes, for a text longer than max_bytes
 // and if the base is not the one for which the patch was made.
--- a/Tests/UsersPlatform/large_configuration_test.cc
+++ b/Tests/UsersPlatform/large_configuration_test.cc
@@ -94,6 +94,32 @@
   }));
 }
 
+// Guards against configurations sent to gateways that cannot use them, because
+// they came from a third one.
+BOOST_FIXTURE_TEST_CASE(a_follower_sends_no_configurations,
+                        LargeConfigFixture) {
+  Other follower(*this, "gateway-2");
+  BOOST_REQUIRE(follower.process.Start());
+  BOOST_REQUIRE(RunUntil([&] { return Serves(follower, "read"); }));
+  const auto state = StateOf(follower);
+  BOOST_TEST(!state.store_reachable);
+  BOOST_TEST(state.config.empty());
+  BOOST_TEST(!state.config_patch);
+  BOOST_TEST(state.reader == "gateway-1");
+}
+
+// Guards against a reader that is followed although it cannot read the
+// configuration, because its other calls to the store succeed.
+BOOST_FIXTURE_TEST_CASE(a_reader_of_an_unreadable_log_is_left,
+                        LargeConfigFixture) {
+  Other reader(*this, "gateway-2", "b");
+  BOOST_REQUIRE(reader.process.Start());
+  BOOST_REQUIRE(RunUntil([&] { return StateOf(reader).store_reachable; }));
+  store.set_silent_topics({kConfigTopic});
+  BOOST_TEST(RunUntil([&] { return !StateOf(reader).store_reachable; },
+                      Milliseconds(9'000)));
+}
+
 struct LossCase {
   const char* name;
   bool planned;
