Read requests beyond the limit of connections before rejecting them

Callers that connected while a server had all its connections saw a reset, mostly without the 503 that had been written for them.

Cause: the server wrote the 503 as soon as it had accepted the connection and closed it with the request unread. The system answers such a close with a reset, and a reset discards what the caller has received and not yet read.

Up to 128 connections beyond the limit now stay open while the head of their request is read, at most for the header time-out. It is rejected with 503, which is true, since it goes to no handler, and the connection lingers like after any other refusal; if there is room by then, it is served instead. With 128 such connections, none is accepted until one ends; the queue of the system holds the rest. A drain accepts that queue within the same bound, as connections end, until its grace is over.

ConnectionsAboveTheLimitAreRefused expected the 503 before any request had been sent. It now sends one on each connection beyond the limit, wants a 503 on both instead of one of them, and that no handler ran.

--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -38,6 +38,9 @@
 // a request that is already under way is answered instead of cut off.
 constexpr Milliseconds kDrainGrace{500};
 constexpr Milliseconds kAcceptRetryDelay{100};
+// Connections beyond the limit that are open at a time, so that their requests
+// can be read and rejected. Further ones wait in the queue of the system.
+constexpr std::size_t kMaxSurplusConnections = 128;
 // Room for the first bytes of a pipelined request.
 constexpr std::size_t kWatchBytes = 1024;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
@@ -75,13 +78,27 @@
   AbortHandler abort_handler_;
   HeadFilter head_filter_;
   FaultHandler fault_handler_;
+  // Whether the limit lets one more connection be served.
+  bool HasRoom() const {
+    return sessions_.size() - surplus_ < options_.max_connections;
+  }
+  // Accepts again if that has been suspended and there is room.
+  void ResumeAccept() {
+    if (suspended_ && acceptor_.is_open()) Accept();
+  }
+
   std::unordered_set<std::shared_ptr<Session>> sessions_;
+  std::size_t surplus_ = 0;  // of these, beyond the limit
   std::size_t active_ = 0;
   bool draining_ = false;
   bool closing_ = false;
 
  private:
+  bool MayAccept() const {
+    return HasRoom() || surplus_ < kMaxSurplusConnections;
+  }
   void Accept();
+  void RetryAccept(const error_code& error);
   void AcceptPending();
   void OnAccepted(Socket socket);
   void ScheduleSweep();
@@ -90,6 +107,7 @@
   asio::basic_socket_acceptor<tcp, Executor> acceptor_;
   Timer sweep_timer_;
   Timer retry_timer_;
+  bool suspended_ = false;  // accepts none until a connection ends
   std::uint64_t last_connection_ = 0;
   Clock::time_point drain_started_;
   std::function<void()> drained_;
@@ -101,10 +119,15 @@
 class HttpServer::Impl::Session
     : public std::enable_shared_from_this<HttpServer::Impl::Session> {
  public:
-  Session(std::shared_ptr<Impl> server, Socket socket, std::uint64_t number)
+  // A surplus session rejects its request unless there is room by then.
+  Session(std::shared_ptr<Impl> server, Socket socket, std::uint64_t number,
+          bool surplus)
       : server_(std::move(server)),
         socket_(std::move(socket)),
-        number_(number) {}
+        number_(number),
+        surplus_(surplus) {
+    if (surplus_) ++server_->surplus_;
+  }
 
   void ReadHead();
   void Respond(std::uint64_t exchange, HttpResponse response);
@@ -118,6 +141,12 @@
   void WatchForClose();
   void OnWatched(error_code error, std::size_t bytes);
   Clock::time_point Deadline() const;
+  Milliseconds HeaderTimeout() const {
+    return server_->options_.header_timeout.value_or(
+        server_->options_.transfer_timeout);
+  }
+  // Returns false if the connection is beyond the limit.
+  bool IsWithinLimit();
   void OnHead(error_code error);
   void ReadBody();
   void OnRequest();
@@ -142,6 +171,7 @@
   std::shared_ptr<Impl> server_;
   Socket socket_;
   const std::uint64_t number_;
+  bool surplus_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string head_;
@@ -165,10 +195,12 @@
 Clock::time_point HttpServer::Impl::Session::Deadline() const {
   switch (state_) {
     case State::kIdle:
-      return entered_ + server_->options_.idle_timeout;
+      // Others wait until a surplus connection ends.
+      return entered_ + (surplus_ ? std::min(HeaderTimeout(),
+                                             server_->options_.idle_timeout)
+                                  : server_->options_.idle_timeout);
     case State::kHead:
-      return entered_ + server_->options_.header_timeout.value_or(
-                            server_->options_.transfer_timeout);
+      return entered_ + HeaderTimeout();
     case State::kLinger:
       return entered_ + kLingerTime;
     case State::kHandling:
@@ -244,6 +276,14 @@
           http_wire::CopyHeaders(message), std::string(), number_};
 }
 
+bool HttpServer::Impl::Session::IsWithinLimit() {
+  if (surplus_ && server_->HasRoom()) {
+    surplus_ = false;
+    --server_->surplus_;
+  }
+  return !surplus_;
+}
+
 void HttpServer::Impl::Session::OnHead(error_code error) {
   if (!socket_.is_open()) return;
   const bool ending_idle = std::exchange(ending_idle_, false);
@@ -251,6 +291,10 @@
     return CloseUnlessRequested();
   }
   if (error) return OnReadError(error);
+  if (!IsWithinLimit()) {
+    return Refuse(503, ResultCode::kNotRunRouterOverloaded,
+                  "too many connections");
+  }
   keep_alive_ = parser_->get().keep_alive();
   if (server_->head_filter_) {
     if (auto response = server_->head_filter_(TakeHead())) {
@@ -436,7 +480,9 @@
   }
   error_code ignored;
   socket_.close(ignored);
+  if (std::exchange(surplus_, false)) --server_->surplus_;
   server_->sessions_.erase(shared_from_this());
+  server_->ResumeAccept();
 }
 
 Result<std::uint16_t> HttpServer::Impl::Listen(const std::string& address) {
@@ -466,38 +512,33 @@
 }
 
 void HttpServer::Impl::Accept() {
+  suspended_ = !MayAccept();
+  if (suspended_) return;
+  if (draining_) return AcceptPending();
   acceptor_.async_accept(
       [self = shared_from_this()](error_code error, Socket socket) {
         if (!self->acceptor_.is_open()) return;
-        if (!error) {
-          self->OnAccepted(std::move(socket));
-          return self->Accept();
-        }
-        // For example out of file descriptors; trying again at once would spin.
-        self->Fault(ResultCode::kNotRunRouterOverloaded,
-                    "accept: " + error.message());
-        self->retry_timer_.expires_after(kAcceptRetryDelay);
-        self->retry_timer_.async_wait([self](error_code wait_error) {
-          if (!wait_error && self->acceptor_.is_open()) self->Accept();
-        });
+        if (error == asio::error::operation_aborted) return;
+        if (error) return self->RetryAccept(error);
+        self->OnAccepted(std::move(socket));
+        self->Accept();
       });
 }
 
+// For example out of file descriptors; trying again at once would spin.
+void HttpServer::Impl::RetryAccept(const error_code& error) {
+  Fault(ResultCode::kNotRunRouterOverloaded, "accept: " + error.message());
+  retry_timer_.expires_after(kAcceptRetryDelay);
+  retry_timer_.async_wait([self = shared_from_this()](error_code wait_error) {
+    if (!wait_error && self->acceptor_.is_open()) self->Accept();
+  });
+}
+
 void HttpServer::Impl::OnAccepted(Socket socket) {
   error_code ignored;
   socket.set_option(tcp::no_delay(true), ignored);
-  if (sessions_.size() >= options_.max_connections) {
-    Fault(ResultCode::kNotRunRouterOverloaded, "too many connections");
-    const HttpResponse response = FaultResponse(
-        503, ResultCode::kNotRunRouterOverloaded, "too many connections");
-    const std::string text =
-        http_wire::ResponseHead(response, false) + response.body;
-    socket.non_blocking(true, ignored);
-    socket.write_some(asio::buffer(text), ignored);
-    return;
-  }
   auto session = std::make_shared<Session>(
-      shared_from_this(), std::move(socket), ++last_connection_);
+      shared_from_this(), std::move(socket), ++last_connection_, !HasRoom());
   sessions_.insert(session);
   session->ReadHead();
 }
@@ -518,6 +559,10 @@
   const std::vector<std::shared_ptr<Session>> sessions(sessions_.begin(),
                                                        sessions_.end());
   for (const auto& session : sessions) session->CheckDeadline(now, grace_over);
+  if (grace_over) {
+    error_code ignored;
+    acceptor_.close(ignored);
+  }
   if (draining_ && sessions_.empty()) {
     if (const auto done = std::exchange(drained_, nullptr)) done();
     return;
@@ -526,25 +571,27 @@
 }
 
 // Accepts the connections that the system has established, whose requests may
-// have arrived: closing the acceptor would reset them.
+// have arrived, and closes the acceptor: closing it would reset them. Those for
+// which there is no room are accepted when others end.
 void HttpServer::Impl::AcceptPending() {
   error_code error;
-  acceptor_.cancel(error);
   acceptor_.non_blocking(true, error);
-  while (!error) {
+  while (!error && MayAccept()) {
     Socket socket(acceptor_.get_executor());
     acceptor_.accept(socket, error);
     if (!error) OnAccepted(std::move(socket));
   }
+  suspended_ = !error;
+  if (error) acceptor_.close(error);
 }
 
 void HttpServer::Impl::Drain(std::function<void()> done) {
   error_code ignored;
-  if (acceptor_.is_open()) AcceptPending();
-  acceptor_.close(ignored);
   draining_ = true;
   drain_started_ = Clock::now();
   drained_ = std::move(done);
+  acceptor_.cancel(ignored);
+  if (acceptor_.is_open()) AcceptPending();
   ScheduleSweep();
 }
 
@@ -580,6 +627,7 @@
 
 void HttpServer::set_options(HttpServerOptions options) {
   impl_->options_ = options;
+  impl_->ResumeAccept();
 }
 
 void HttpServer::AnnounceClose() { impl_->closing_ = true; }
@@ -592,7 +640,9 @@
   impl_->Drain(std::move(done));
 }
 
-std::size_t HttpServer::connections() const { return impl_->sessions_.size(); }
+std::size_t HttpServer::connections() const {
+  return impl_->sessions_.size() - impl_->surplus_;
+}
 
 std::size_t HttpServer::active_requests() const { return impl_->active_; }
 
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -20,6 +20,9 @@
 namespace balsamhall {
 
 struct HttpServerOptions {
+  // Further connections get their request read, and rejected with 503 if there
+  // is still no room; beyond a fixed number of them, none is accepted until one
+  // ends.
   std::size_t max_connections = 1000;
   std::size_t max_header_bytes = 8U << 10U;
   std::size_t max_body_bytes = 1U << 20U;
@@ -73,6 +76,7 @@
   // calls done when the last connection is closed.
   void Drain(std::function<void()> done);
 
+  // Open connections within the limit.
   std::size_t connections() const;
   std::size_t active_requests() const;
 
--- a/Tests/Clients/http_limits_test.cc
+++ b/Tests/Clients/http_limits_test.cc
@@ -165,10 +165,14 @@
   sockets.reserve(6);
   for (int i = 0; i < 6; ++i) sockets.push_back(fixture.Connect());
   BOOST_CHECK_EQUAL(fixture.server.connections(), 4U);
+  for (tcp::socket* const socket : {&sockets[4], &sockets[5]}) {
+    BOOST_CHECK_EQUAL(
+        fixture.Exchange(*socket, "GET / HTTP/1.1\r\n\r\n", Milliseconds(10))
+            .substr(0, 12),
+        "HTTP/1.1 503");
+  }
   BOOST_CHECK_EQUAL(fixture.faults[ResultCode::kNotRunRouterOverloaded], 2);
-  BOOST_CHECK_EQUAL(
-      fixture.Exchange(sockets[5], "", Milliseconds(10)).substr(0, 12),
-      "HTTP/1.1 503");
+  BOOST_CHECK_EQUAL(fixture.handled, 0);
 }
 
 // Guards against a head filter whose refusal costs the connection or lets the
