Answer callers that have only ended their sending side

A caller that sent its request and shut down its sending side got no answer: the connection was closed at once, also in the middle of an answer being written, and where the request was not to be repeated, the answer that its endpoint made was thrown away.

Cause: the HTTP server took the end of the caller's sending side for a caller that had left. A caller that closes its connection shows the same, so the two can't be told apart before something is written.

Work is still cancelled at once, but for a request that must not be repeated and is under way, whose answer is delivered. A request that is cancelled is answered with 502 if an attempt was under way or has failed before, and with 503 if it only waited in the queue, from which it is removed; nothing is sent or repeated for such a caller any more. To one that has left, the answer goes nowhere. A reset ends the connection as before.

The endpoint of the tests now answers such connections with 499, since a handler that never responds would hold them.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -118,7 +118,8 @@
   std::uint64_t id = 0;
   std::uint64_t connection = 0;
   HttpRequest request;
-  HttpServer::Respond respond;  // empty after the response or a disconnect
+  HttpServer::Respond respond;  // empty after the response
+  bool caller_left = false;     // perhaps; it may still read
   CallerRequest caller;
   std::shared_ptr<const RouteTable> routes;  // owns route
   const Route* route = nullptr;
@@ -593,7 +594,9 @@
 bool Forwarder::RetryIfAllowed(Exchange& exchange, bool capped,
                                const char* cause) {
   const auto now = Now();
-  if (!exchange.respond || now >= exchange.deadline) return false;
+  if (!exchange.respond || exchange.caller_left || now >= exchange.deadline) {
+    return false;
+  }
   if (capped && exchange.attempts >= exchange.route->max_attempts) return false;
   if (capped && !exchange.service->retries.TryRetry(now)) {
     exchange.history += "no retry budget;";
@@ -730,15 +733,25 @@
        {"endpoint", exchange->endpoint.ref.id},
        {"after", FormatDuration(ToMilliseconds(now - exchange->job.arrival))}},
       now);
-  exchange->respond = nullptr;
+  exchange->caller_left = true;
   ServiceState& service = *exchange->service;
   if (exchange->client != nullptr && !exchange->route->idempotent) return;
   if (exchange->client != nullptr) {
     service.scheduler.OnCancelled(exchange->id, exchange->endpoint.ref);
     StopAttempt(*exchange);
+    exchange->may_have_run = true;
   } else {
     service.scheduler.Remove(exchange->id);
   }
+  if (const auto respond = std::exchange(exchange->respond, nullptr)) {
+    respond(exchange->may_have_run
+                ? dialect_.MakeErrorResponse(502, exchange->caller,
+                                             std::nullopt,
+                                             ResultCode::kUnknownConnectionLost)
+                : dialect_.MakeErrorResponse(503, exchange->caller,
+                                             kDefaultRetryAfter,
+                                             ResultCode::kNotRunCancelled));
+  }
   Erase(exchange->id);
   ApplyDecisions(service, service.scheduler.Advance(now));
 }
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -40,8 +40,9 @@
   Forwarder(const Forwarder&) = delete;
   Forwarder& operator=(const Forwarder&) = delete;
 
-  // Handlers for HttpServer: a request has arrived; its caller has closed the
-  // connection before the response.
+  // Handlers for HttpServer: a request has arrived; its caller has ended its
+  // sending side or the connection before the response. Only work that must not
+  // be repeated and is under way continues then.
   void OnRequest(HttpRequest request, HttpServer::Respond respond);
   void OnCallerDisconnected(std::uint64_t connection);
 
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -231,10 +231,14 @@
     return CloseUnlessRequested();
   }
   if (error) {
-    if (state_ == State::kHandling && server_->abort_handler_) {
-      server_->abort_handler_(number_);
-    }
-    return Close();
+    const bool handling = state_ == State::kHandling;
+    // A caller that has only ended its sending side still reads.
+    const bool writable =
+        error == asio::error::eof && (handling || state_ == State::kWriting);
+    keep_alive_ = false;
+    if (!writable) Close();
+    if (handling && server_->abort_handler_) server_->abort_handler_(number_);
+    return;
   }
   buffer_.commit(bytes);
   if (state_ == State::kLinger) return Linger();
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -47,8 +47,10 @@
       std::function<std::optional<HttpResponse>(const HttpRequest&)>;
   // Called when a request is answered by the server itself or is malformed.
   using FaultHandler = std::function<void(ResultCode, const std::string&)>;
-  // Called with HttpRequest::connection when the caller closes the connection
-  // while its request is with the handler. No response can be sent any more.
+  // Called with HttpRequest::connection when the caller ends its sending side
+  // or resets the connection while its request is with the handler. The former
+  // is all that shows when it has left, but it may still read: the handler must
+  // respond, and soon, because this holds the connection.
   using AbortHandler = std::function<void(std::uint64_t connection)>;
 
   HttpServer(boost::asio::io_context& loop, HttpServerOptions options,
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -164,9 +164,10 @@
   ++runs_[std::string(FindHeader(request.headers, kId))];
   if (fault_ == EndpointFault::kSilent) return;
   RunAfter(loop_, work_time_, [this, request, respond, born = born_] {
-    if (born == born_ && !gone_.contains(request.connection)) {
-      respond(Answer(request));
-    }
+    if (born != born_) return;
+    // The answer to a caller that has left only ends the connection.
+    const bool gone = gone_.contains(request.connection);
+    respond(gone ? HttpResponse{499, {}, ""} : Answer(request));
   });
 }
 
