Serve a connection that was accepted just before a drain

A caller that connected as a planned stop closed the listening socket could see its connection reset, although the server had accepted it.

Cause: when several connections wait, the system hands over the next one at once, and the handler that takes it waits its turn in the loop. If the drain ran in between, that handler found the listening socket closed and dropped the connection with its request.

Evidence: the new test, in which the drain starts between the two, saw "Connection reset by peer" before.

Such a connection now joins those that the drain finishes. Only the end of the server itself, after which there is no handler, drops it.

--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -107,6 +107,7 @@
   asio::basic_socket_acceptor<tcp, Executor> acceptor_;
   Timer sweep_timer_;
   Timer retry_timer_;
+  bool stopped_ = false;
   bool suspended_ = false;  // accepts none until a connection ends
   std::uint64_t last_connection_ = 0;
   Clock::time_point drain_started_;
@@ -521,10 +522,11 @@
   if (draining_) return AcceptPending();
   acceptor_.async_accept(
       [self = shared_from_this()](error_code error, Socket socket) {
+        // Accepted before a drain, which has closed the acceptor since.
+        if (!error && !self->stopped_) self->OnAccepted(std::move(socket));
         if (!self->acceptor_.is_open()) return;
         if (error == asio::error::operation_aborted) return;
         if (error) return self->RetryAccept(error);
-        self->OnAccepted(std::move(socket));
         self->Accept();
       });
 }
@@ -600,6 +602,7 @@
 }
 
 void HttpServer::Impl::Stop() {
+  stopped_ = true;
   error_code ignored;
   acceptor_.close(ignored);
   sweep_timer_.cancel();
