--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -20,6 +20,9 @@
 namespace balsamhall {
 
 struct HttpServerOptions {
+  // Further connections get their request read, and rejected with 503 if there
+  // is still no room; beyond a fixed number of them, none is accepted until one
+  // ends.
   std::size_t max_connections = 1000;
   std::size_t max_header_bytes = 8U << 10U;
   std::size_t max_body_bytes = 1U << 20U;
@@ -44,8 +47,10 @@
       std::function<std::optional<HttpResponse>(const HttpRequest&)>;
   // Called when a request is answered by the server itself or is malformed.
   using FaultHandler = std::function<void(ResultCode, const std::string&)>;
-  // Called with HttpRequest::connection when the caller closes the connection
-  // while its request is with the handler. No response can be sent any more.
+  // Called with HttpRequest::connection when the caller ends its sending side
+  // or resets the connection while its request is with the handler. The former
+  // is all that shows when it has left, but it may still read: the handler must
+  // respond, and soon, because this holds the connection.
   using AbortHandler = std::function<void(std::uint64_t connection)>;
 
   HttpServer(boost::asio::io_context& loop, HttpServerOptions options,
@@ -73,6 +78,7 @@
   // calls done when the last connection is closed.
   void Drain(std::function<void()> done);
 
+  // Open connections within the limit.
   std::size_t connections() const;
   std::size_t active_requests() const;
 
