Let the memory for unfinished responses follow the machine's

Callers of a machine lost all their requests when an endpoint sent bodies without end: the process held them until the system ended it. It allowed unfinished responses 128 MB together and 64 MB each, whatever the machine has; those of the grown sites have 160 MB. A string that grows doubles its capacity, of which only the size was counted, and a stated Content-Length was reserved before a byte of the body had arrived, and not counted at all.

memory_bytes of the settings, from limits.memory_mb (160 MB if absent), is divided: a quarter for unfinished responses, an eighth at most for one. The capacity is counted, before it is allocated, and it grows with the bytes that arrive.

many_bodies_without_end_leave_memory now has the bound of such a machine, 160 MB in place of 260 MiB, for gateway and stand-ins together; before the change it failed with 169,947,136 bytes resident. StatedLengthsTakeNoMemory failed with 135 MB allocated for 16 responses of one byte each.

--- a/Source/gateway/fleet_view.h
+++ b/Source/gateway/fleet_view.h
@@ -90,6 +90,8 @@
   std::string peer_address;
   std::string metrics_address;
   std::string store_address;
+  // Memory of this process, of which its buffers get fixed shares.
+  std::size_t memory_bytes = 160'000'000;
   Milliseconds registry_heartbeat{1'000};
   Milliseconds min_group_ttl{1'000};
   Milliseconds stop_grace{6'000};
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -27,9 +27,9 @@
 // would be unknown.
 constexpr Milliseconds kMaxIdleNonIdempotent{600};
 constexpr std::size_t kConnectionsPerEndpoint = 12;
-constexpr std::size_t kMaxResponseBytes = 64U << 20U;
-// Half of a VM's memory; one response alone can reach its own limit.
-constexpr std::size_t kMaxUnfinishedResponseBytes = 128U << 20U;
+// Share of the process's memory for unfinished responses; the rest is for
+// everything else. One alone reaches at most half of it (AnswerMemory).
+constexpr std::size_t kUnfinishedResponsesDivisor = 4;
 // Network delay of the response, by distance. The time limit sent to the
 // endpoint is that much shorter than the caller's.
 constexpr Milliseconds kOneWayDelaySameRegion{4};
@@ -157,8 +157,8 @@
       dialect_(dialect),
       notices_(notices),
       metrics_(metrics),
-      answer_memory_(
-          std::make_shared<AnswerMemory>(kMaxUnfinishedResponseBytes)),
+      answer_memory_(std::make_shared<AnswerMemory>(
+          settings.memory_bytes / kUnfinishedResponsesDivisor)),
       timers_(std::make_unique<Timers>(loop)) {}
 
 Forwarder::~Forwarder() = default;
@@ -231,7 +231,8 @@
     HttpClientOptions options;
     options.max_connections = kConnectionsPerEndpoint;
     options.connect_timeout = kConnectTimeout;
-    options.max_body_bytes = kMaxResponseBytes;
+    options.max_body_bytes =
+        settings_.memory_bytes / kUnfinishedResponsesDivisor / 2;
     options.answer_memory = answer_memory_;
     options.accept_unframed = true;
     options.max_idle = kMaxIdle;
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -59,7 +59,8 @@
   return std::chrono::seconds(seconds);
 }
 
-// The text of an unfinished body, which takes its bytes from an AnswerMemory.
+// The text of an unfinished body, which takes its capacity from an
+// AnswerMemory.
 class HeldText {
  public:
   HeldText() = default;
@@ -70,11 +71,13 @@
   void set_memory(std::shared_ptr<AnswerMemory> memory) {
     memory_ = std::move(memory);
   }
-  void Reserve(std::size_t bytes) { text_.reserve(bytes); }
+  // No capacity is taken beyond so many bytes unless they have arrived.
+  void set_expected(std::size_t bytes) { expected_ = bytes; }
   std::size_t size() const { return text_.size(); }
   // Returns false if there is no memory left.
   bool Append(std::string_view bytes) {
-    if (memory_ && !memory_->Take(bytes.size(), text_.size())) return false;
+    const std::size_t needed = text_.size() + bytes.size();
+    if (needed > taken_ && !Grow(needed)) return false;
     text_ += bytes;
     return true;
   }
@@ -84,11 +87,25 @@
   }
 
  private:
+  bool Grow(std::size_t needed) {
+    const std::size_t capacity =
+        std::max(needed, std::min(2 * taken_, expected_));
+    if (memory_ && !memory_->Take(capacity - taken_, taken_)) return false;
+    taken_ = capacity;
+    // reserve() of a string that has text may allocate more than this.
+    std::string grown;
+    grown.reserve(capacity);
+    grown += text_;
+    text_ = std::move(grown);
+    return true;
+  }
   void Return() {
-    if (memory_) memory_->Return(text_.size());
+    if (memory_) memory_->Return(std::exchange(taken_, 0));
   }
 
   std::shared_ptr<AnswerMemory> memory_;
+  std::size_t expected_ = 0;
+  std::size_t taken_ = 0;
   std::string text_;
 };
 
@@ -101,7 +118,7 @@
   // The names that the parser calls.
   // NOLINTBEGIN(readability-identifier-naming)
   void init(const boost::optional<std::uint64_t>& length, error_code& error) {
-    if (length) text_.Reserve(static_cast<std::size_t>(*length));
+    if (length) text_.set_expected(static_cast<std::size_t>(*length));
     error = {};
   }
   std::size_t put(const asio::const_buffer& buffer, error_code& error) {
@@ -397,6 +414,7 @@
   parser_.emplace();
   parser_->body_limit(client_->options_.max_body_bytes);
   parser_->get().body().set_memory(client_->options_.answer_memory);
+  parser_->get().body().set_expected(client_->options_.max_body_bytes);
   http::async_read(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -1,4 +1,5 @@
 // Bytes without end, read by the HTTP client and by the HTTP server.
+#include <malloc.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -314,6 +315,31 @@
   BOOST_CHECK_EQUAL(client.open_connections(), 1U);
 }
 
+// Guards against memory that is allocated for bytes that were only announced.
+BOOST_AUTO_TEST_CASE(StatedLengthsTakeNoMemory) {
+  constexpr int kExchanges = 16;
+  constexpr std::size_t kStatedBytes = 8U << 20U;
+  Fixture fixture;
+  fixture.options.max_body_bytes = kStatedBytes;
+  const EndlessServer server(
+      {kOk + "Content-Length: " + std::to_string(kStatedBytes) + "\r\n\r\nx",
+       "",
+       {}});
+  HttpClient client(fixture.loop, server.address(), fixture.options);
+  const auto allocated = [] {
+    const auto info = ::mallinfo2();
+    return info.uordblks + info.hblkhd;
+  };
+  const std::size_t at_start = allocated();
+  for (int i = 0; i < kExchanges; ++i) {
+    client.Send({"GET", "/", {}, "", 0}, kTimeout,
+                [](const HttpClient::Outcome&) {});
+  }
+  RunFor(fixture.loop, kTimeout / 2);
+  BOOST_CHECK_EQUAL(server.asked(), kExchanges);
+  BOOST_CHECK_LT(allocated(), at_start + kStatedBytes);
+}
+
 // Guards against short answers that fail because long ones hold the memory.
 BOOST_AUTO_TEST_CASE(ShortAnswersFindRoomBesideLongOnes) {
   AnswerMemory memory(1000);
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -37,7 +37,7 @@
 
 constexpr int kServers = 3;
 constexpr int kWrites = 36;
-constexpr std::size_t kVmBytes = 260U << 20U;
+constexpr std::size_t kVmBytes = 160'000'000;  // of the grown sites
 // Below the limit of one response; many of them are more than a VM has.
 constexpr std::uint64_t kBytesOfEach = 12U << 20U;
 
--- a/Tests/UsersPlatform/formats_test.cc
+++ b/Tests/UsersPlatform/formats_test.cc
@@ -24,13 +24,20 @@
   "internal_ports": [7620, 7635], "heartbeat": "870ms",
   "platform": {"address": "10.0.0.9:9", "ttl_min": "1000ms"},
   "bounds": {"grace": "6s", "retry_budget_ratio": 0.2, "budget_window": "10s",
-             "retry_budget_slack": 58, "hold_max": "10000ms"}, "new": 1})";
+             "retry_budget_slack": 58, "hold_max": "10000ms"},
+  "limits": {"cpu_share": 0.1, "memory_mb": 96}, "new": 1})";
 
 BOOST_AUTO_TEST_CASE(settings_are_read) {
   const auto settings = ParseSettings(kSettings);
   BOOST_REQUIRE(settings);
   BOOST_TEST(settings.value().id == "front-1");
   BOOST_TEST(settings.value().peer_address == "10.0.0.1:7620");
+  BOOST_TEST(settings.value().memory_bytes == 96'000'000U);
+  const auto without =
+      ParseSettings(Replaced(kSettings, "memory_mb", "memory"));
+  BOOST_REQUIRE(without);
+  BOOST_TEST(without.value().memory_bytes ==
+             gateway::GatewaySettings().memory_bytes);
   BOOST_TEST((settings.value().stop_grace == Milliseconds(6'000)));
   using gateway::Distance;
   BOOST_TEST((settings.value().DistanceTo("a") == Distance::kSameDataCentre));
@@ -46,6 +53,8 @@
      "retry_budget_ratio"},
     {"ports missing", "[7620, 7635]", "[]", ResultCode::kSettingsInvalid, "",
      "internal_ports"},
+    {"no memory", "\"memory_mb\": 96", "\"memory_mb\": 0",
+     ResultCode::kSettingsInvalid, "", "memory_mb"},
     {"cut short", "\"new\": 1}", "\"new\"", ResultCode::kSettingsInvalid, "",
      "parse"},
 };
