Count request bodies and answers that wait for slow callers

The bodies of callers' requests and complete answers that a slow caller doesn't read were outside of every limit: up to max_body_bytes each on 2,500 connections. Beside an endpoint that sends without end they could end the process, and with it the requests of all callers.

A quarter of the machine's memory is for request bodies. A stated length is taken, twice because each body is kept for further attempts, when the head has arrived; a body that finds no room is refused with 503, before it is read and not run. A body without a stated length is taken as it arrives. Short bodies find room beside long ones. Answers count until their callers have them, in the memory of the responses; they are always delivered, and later responses find less room. An idle connection frees the answer that it has written.

RequestBodiesBeyondTheMemoryAreNotRun, ChunkedBodiesBeyondTheMemoryAreNotRun and AnswersThatWaitForTheirCallersAreCounted failed with the earlier server and pass.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -27,9 +27,9 @@
 // would be unknown.
 constexpr Milliseconds kMaxIdleNonIdempotent{600};
 constexpr std::size_t kConnectionsPerEndpoint = 12;
-// Share of the process's memory for unfinished responses; the rest is for
-// everything else. One alone reaches at most half of it (AnswerMemory).
-constexpr std::size_t kUnfinishedResponsesDivisor = 4;
+// Share of the process's memory for bodies of responses; the rest is for
+// everything else. One alone reaches at most half of it (BodyMemory).
+constexpr std::size_t kResponsesDivisor = 4;
 // Network delay of the response, by distance. The time limit sent to the
 // endpoint is that much shorter than the caller's.
 constexpr Milliseconds kOneWayDelaySameRegion{4};
@@ -157,8 +157,8 @@
       dialect_(dialect),
       notices_(notices),
       metrics_(metrics),
-      answer_memory_(std::make_shared<AnswerMemory>(
-          settings.memory_bytes / kUnfinishedResponsesDivisor)),
+      response_memory_(std::make_shared<BodyMemory>(settings.memory_bytes /
+                                                    kResponsesDivisor)),
       timers_(std::make_unique<Timers>(loop)) {}
 
 Forwarder::~Forwarder() = default;
@@ -231,9 +231,8 @@
     HttpClientOptions options;
     options.max_connections = kConnectionsPerEndpoint;
     options.connect_timeout = kConnectTimeout;
-    options.max_body_bytes =
-        settings_.memory_bytes / kUnfinishedResponsesDivisor / 2;
-    options.answer_memory = answer_memory_;
+    options.max_body_bytes = settings_.memory_bytes / kResponsesDivisor / 2;
+    options.answer_memory = response_memory_;
     options.accept_unframed = true;
     options.max_idle = kMaxIdle;
     options.named_request = [this](const HttpRequest& request,
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -84,6 +84,12 @@
                                HttpRequest request, Milliseconds timeout,
                                HttpClient::Callback done);
 
+  // Memory of the bodies of responses, also of those that are being written to
+  // callers.
+  const std::shared_ptr<BodyMemory>& response_memory() const {
+    return response_memory_;
+  }
+
   // Number of requests in progress.
   std::size_t pending() const { return exchanges_.size(); }
 
@@ -153,7 +159,7 @@
   EndpointNotices& notices_;
   Metrics& metrics_;
   RequestLog log_;
-  std::shared_ptr<AnswerMemory> answer_memory_;
+  std::shared_ptr<BodyMemory> response_memory_;
   std::shared_ptr<const RouteTable> routes_;
   SplitPicker split_;
   std::map<ServiceId, std::unique_ptr<ServiceState>> services_;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -21,6 +21,8 @@
 // Time to send the responses to the aborted requests.
 constexpr Milliseconds kFinalResponseTime{200};
 constexpr std::size_t kMaxFrontConnections = 2'500;
+// Share of the process's memory for bodies of callers' requests.
+constexpr std::size_t kRequestsDivisor = 4;
 // High, because a body may arrive slowly as long as its caller's deadline
 // allows.
 constexpr Milliseconds kTransferTimeout{30'000};
@@ -47,6 +49,8 @@
             settings_.data_centre},
       notices_(settings_.drain),
       forwarder_(loop, settings_, dialect, notices_, metrics_),
+      request_memory_(std::make_shared<BodyMemory>(settings_.memory_bytes /
+                                                   kRequestsDivisor)),
       tick_timer_(loop),
       join_timer_(loop),
       report_timer_(loop),
@@ -71,6 +75,8 @@
   HttpServerOptions options;
   options.max_connections = kMaxFrontConnections;
   options.transfer_timeout = kTransferTimeout;
+  options.request_memory = request_memory_;
+  options.response_memory = forwarder_.response_memory();
   if (routes_) {
     const TrafficLimits& limits = routes_->config().limits;
     options.max_header_bytes = limits.max_header_bytes;
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -165,6 +165,7 @@
   Metrics metrics_;
   EndpointNotices notices_;
   Forwarder forwarder_;
+  const std::shared_ptr<BodyMemory> request_memory_;  // of callers' bodies
   EndpointRegistry registry_;
   std::map<std::string, AddressHolder> address_holders_;
   std::shared_ptr<const RouteTable> routes_;
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -59,8 +59,7 @@
   return std::chrono::seconds(seconds);
 }
 
-// The text of an unfinished body, which takes its capacity from an
-// AnswerMemory.
+// The text of an unfinished body, which takes its capacity from a BodyMemory.
 class HeldText {
  public:
   HeldText() = default;
@@ -68,7 +67,7 @@
   HeldText& operator=(const HeldText&) = delete;
   ~HeldText() { Return(); }
 
-  void set_memory(std::shared_ptr<AnswerMemory> memory) {
+  void set_memory(std::shared_ptr<BodyMemory> memory) {
     memory_ = std::move(memory);
   }
   // No capacity is taken beyond so many bytes unless they have arrived.
@@ -103,7 +102,7 @@
     if (memory_) memory_->Return(std::exchange(taken_, 0));
   }
 
-  std::shared_ptr<AnswerMemory> memory_;
+  std::shared_ptr<BodyMemory> memory_;
   std::size_t expected_ = 0;
   std::size_t taken_ = 0;
   std::string text_;
@@ -147,12 +146,6 @@
 
 }  // namespace
 
-bool AnswerMemory::Take(std::size_t bytes, std::size_t held) {
-  if (bytes > left_ || held + bytes > left_ - bytes) return false;
-  left_ -= bytes;
-  return true;
-}
-
 class HttpClient::Impl : public std::enable_shared_from_this<Impl> {
  public:
   class Connection;
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -12,6 +12,7 @@
 
 #include "core/result_code.h"
 #include "core/types.h"
+#include "net/body_memory.h"
 #include "net/http_types.h"
 
 namespace boost::asio {
@@ -20,28 +21,12 @@
 
 namespace balsamhall {
 
-// Bytes that the unfinished answers of several clients hold together. An answer
-// may hold as much as is left beside it: the largest reach the limit first, and
-// short ones still find room. Not thread-safe.
-class AnswerMemory {
- public:
-  explicit AnswerMemory(std::size_t max_bytes) : left_(max_bytes) {}
-
-  // Takes bytes for an answer that holds so many already. Returns false, and
-  // takes none, if it would hold more than what is left.
-  bool Take(std::size_t bytes, std::size_t held);
-  void Return(std::size_t bytes) { left_ += bytes; }
-
- private:
-  std::size_t left_;
-};
-
 struct HttpClientOptions {
   std::size_t max_connections = 100;
   Milliseconds connect_timeout{500};
   std::size_t max_body_bytes = 8U << 20U;
   // Limits what several clients hold together; none if empty.
-  std::shared_ptr<AnswerMemory> answer_memory;
+  std::shared_ptr<BodyMemory> answer_memory;
   // Returns false for an answer that does not belong to the request. It then
   // counts as kBadAnswer, and the connection is closed.
   std::function<bool(const HttpRequest&, const HttpResponse&)> accept_answer;
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -40,6 +40,8 @@
 constexpr Milliseconds kAcceptRetryDelay{100};
 // Room for the first bytes of a pipelined request.
 constexpr std::size_t kWatchBytes = 1024;
+// A request body is kept for further attempts, and sent from a copy.
+constexpr std::size_t kBodyCopies = 2;
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 HttpResponse FaultResponse(unsigned status, ResultCode code,
@@ -120,6 +122,11 @@
   Clock::time_point Deadline() const;
   void OnHead(error_code error);
   void ReadBody();
+  void ReadMoreBody();
+  // Takes memory for so many bytes of the request's body. Returns false, and
+  // refuses the request, if there is none left.
+  bool HoldRequestBody(std::size_t bytes);
+  void ReturnMemory();
   void OnRequest();
   void OnReadError(error_code error);
   // Whether bytes have arrived that this session has not read.
@@ -146,6 +153,11 @@
   std::optional<http::request_parser<http::string_body>> parser_;
   std::string head_;
   std::string body_;
+  // Where the bodies are counted; options may be replaced meanwhile.
+  std::shared_ptr<BodyMemory> request_memory_;
+  std::shared_ptr<BodyMemory> response_memory_;
+  std::size_t request_bytes_ = 0;
+  std::size_t response_bytes_ = 0;
   State state_ = State::kIdle;
   Clock::time_point entered_;
   std::uint64_t exchange_ = 0;
@@ -264,6 +276,12 @@
     }
   }
   if (parser_->is_done()) return OnRequest();
+  // A longer body than the limit fails when it is read.
+  const auto length = parser_->content_length();
+  if (length && *length <= server_->options_.max_body_bytes &&
+      !HoldRequestBody(static_cast<std::size_t>(*length))) {
+    return;
+  }
   if (http::token_list(parser_->get()[http::field::expect])
           .exists("100-continue")) {
     error_code ignored;  // a lost connection shows up in the read below
@@ -274,11 +292,20 @@
 
 void HttpServer::Impl::Session::ReadBody() {
   Enter(State::kBody);
-  http::async_read(
+  ReadMoreBody();
+}
+
+void HttpServer::Impl::Session::ReadMoreBody() {
+  http::async_read_some(
       socket_, buffer_, *parser_,
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
         if (!self->socket_.is_open()) return;
         if (error) return self->OnReadError(error);
+        if (!self->skip_body_ &&
+            !self->HoldRequestBody(self->parser_->get().body().size())) {
+          return;
+        }
+        if (!self->parser_->is_done()) return self->ReadMoreBody();
         if (self->skip_body_) {
           self->skip_body_ = false;
           return self->ReadHead();
@@ -287,6 +314,28 @@
       });
 }
 
+bool HttpServer::Impl::Session::HoldRequestBody(std::size_t bytes) {
+  const std::size_t held = bytes * kBodyCopies;
+  if (request_bytes_ == 0) request_memory_ = server_->options_.request_memory;
+  if (!request_memory_ || held <= request_bytes_) return true;
+  if (!request_memory_->Take(held - request_bytes_, request_bytes_)) {
+    Refuse(503, ResultCode::kNotRunRouterOverloaded,
+           "no memory for the request body");
+    return false;
+  }
+  request_bytes_ = held;
+  return true;
+}
+
+void HttpServer::Impl::Session::ReturnMemory() {
+  if (request_memory_) {
+    request_memory_->Return(std::exchange(request_bytes_, 0));
+  }
+  if (response_memory_) {
+    response_memory_->Return(std::exchange(response_bytes_, 0));
+  }
+}
+
 void HttpServer::Impl::Session::OnRequest() {
   HttpRequest request = TakeHead();
   request.body = std::move(parser_->get().body());
@@ -329,6 +378,7 @@
   server_->Fault(code, detail);
   keep_alive_ = false;
   skip_body_ = false;
+  parser_.reset();  // with what it holds of the body
   Write(FaultResponse(status, code, detail));
 }
 
@@ -338,7 +388,13 @@
       keep_alive_ && !server_->draining_ && !server_->closing_ &&
       (declared.empty() || declared == std::to_string(response.body.size()));
   head_ = http_wire::ResponseHead(response, keep_alive_);
+  ReturnMemory();
   body_ = std::move(response.body);
+  response_memory_ = server_->options_.response_memory;
+  if (response_memory_) {
+    response_bytes_ = body_.size();
+    response_memory_->TakeAnyway(response_bytes_);
+  }
   Enter(State::kWriting);
   const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_),
                                                      asio::buffer(body_)};
@@ -354,6 +410,8 @@
     active_ = false;
     --server_->active_;
   }
+  std::string().swap(body_);  // frees it on idle connections too
+  ReturnMemory();
   if (!socket_.is_open()) return;
   if (error) return Close();
   if (!keep_alive_) return Linger();
@@ -434,6 +492,7 @@
     active_ = false;
     --server_->active_;
   }
+  ReturnMemory();
   error_code ignored;
   socket_.close(ignored);
   server_->sessions_.erase(shared_from_this());
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -11,6 +11,7 @@
 
 #include "core/result_code.h"
 #include "core/types.h"
+#include "net/body_memory.h"
 #include "net/http_types.h"
 
 namespace boost::asio {
@@ -29,6 +30,11 @@
   std::optional<Milliseconds> header_timeout;
   // A caller that sends or reads slower than this is disconnected.
   Milliseconds transfer_timeout{10'000};
+  // Limits the request bodies until they are answered; a request that finds no
+  // room is refused with 503. None if empty.
+  std::shared_ptr<BodyMemory> request_memory;
+  // Holds the response bodies that are being written. None if empty.
+  std::shared_ptr<BodyMemory> response_memory;
   bool reuse_port = false;  // several loops may listen on one address
 };
 
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -342,7 +342,7 @@
 
 // Guards against short answers that fail because long ones hold the memory.
 BOOST_AUTO_TEST_CASE(ShortAnswersFindRoomBesideLongOnes) {
-  AnswerMemory memory(1000);
+  BodyMemory memory(1000);
   BOOST_CHECK(!memory.Take(600, 0));
   BOOST_CHECK(memory.Take(400, 0));
   BOOST_CHECK(!memory.Take(200, 400));
@@ -351,6 +351,104 @@
   BOOST_CHECK(memory.Take(500, 0));
 }
 
+struct MemoryServer : Fixture {
+  MemoryServer()
+      : server(loop, {}, [this](HttpRequest, auto respond) {
+          waiting.push_back(std::move(respond));
+        }) {
+    HttpServerOptions limits;
+    limits.max_body_bytes = kMaxBodyBytes;
+    limits.request_memory = requests;
+    limits.response_memory = responses;
+    server.set_options(limits);
+    server.set_abort_handler([](std::uint64_t) {});
+    port = server.Listen("127.0.0.1:0").value();
+    client.emplace(loop, "127.0.0.1:" + std::to_string(port), options);
+  }
+  void Send(std::size_t body_bytes) {
+    client->Send(
+        {"POST", "/", {}, std::string(body_bytes, 'x'), 0}, kTimeout,
+        [this](const HttpClient::Outcome& outcome) {
+          statuses.push_back(outcome.response ? outcome.response->status : 0U);
+        });
+  }
+
+  void Connect(asio::ip::tcp::socket& caller) const {
+    caller.connect({asio::ip::address_v4::loopback(), port});
+  }
+  // Sends bytes, and returns the first ones of the answer.
+  std::string Exchange(const std::string& bytes) {
+    asio::ip::tcp::socket caller(loop);
+    Connect(caller);
+    std::string answer(64, ' ');
+    bool read = false;
+    asio::async_write(caller, asio::buffer(bytes), [](auto, auto) {});
+    caller.async_read_some(asio::buffer(answer),
+                           [&](auto, auto) { read = true; });
+    BOOST_CHECK(RunUntil([&] { return read; }, kTimeout));
+    return answer;
+  }
+
+  std::vector<HttpServer::Respond> waiting;
+  std::shared_ptr<BodyMemory> requests =
+      std::make_shared<BodyMemory>(6 * kMaxBodyBytes);
+  std::shared_ptr<BodyMemory> responses =
+      std::make_shared<BodyMemory>(6 * kMaxBodyBytes);
+  HttpServer server;
+  std::uint16_t port = 0;
+  std::optional<HttpClient> client;
+  std::vector<unsigned> statuses;
+};
+
+// Guards against bodies of requests that together fill the memory, and against
+// small requests that find no room beside them.
+BOOST_AUTO_TEST_CASE(RequestBodiesBeyondTheMemoryAreNotRun) {
+  MemoryServer fixture;
+  for (int i = 0; i < 3; ++i) fixture.Send(kMaxBodyBytes);
+  fixture.Send(10);
+  BOOST_CHECK(fixture.RunUntil(
+      [&] { return fixture.waiting.size() + fixture.statuses.size() == 4; },
+      kTimeout));
+  BOOST_CHECK(fixture.statuses == std::vector<unsigned>{503U});
+  BOOST_CHECK_EQUAL(fixture.waiting.size(), 3U);
+  for (const auto& respond : fixture.waiting) respond({200, {}, ""});
+  fixture.Send(kMaxBodyBytes);
+  BOOST_CHECK(
+      fixture.RunUntil([&] { return fixture.waiting.size() == 4; }, kTimeout));
+  fixture.client.reset();
+  BOOST_CHECK(fixture.RunUntil([&] { return fixture.requests->taken() == 0; },
+                               kTimeout));
+}
+
+// Guards against bodies of no stated length that are not counted.
+BOOST_AUTO_TEST_CASE(ChunkedBodiesBeyondTheMemoryAreNotRun) {
+  MemoryServer fixture;
+  BOOST_REQUIRE(fixture.requests->Take(3 * kMaxBodyBytes, 0));
+  BOOST_REQUIRE(fixture.requests->Take(kMaxBodyBytes, 0));
+  BOOST_REQUIRE(fixture.requests->Take(kMaxBodyBytes / 2, 0));
+  const std::string answer = fixture.Exchange(
+      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n80000\r\n" +
+      std::string(0x80000, 'x'));
+  BOOST_CHECK(answer.starts_with("HTTP/1.1 503"));
+  BOOST_CHECK(fixture.waiting.empty());
+}
+
+// Guards against answers that wait for a slow caller and are not counted.
+BOOST_AUTO_TEST_CASE(AnswersThatWaitForTheirCallersAreCounted) {
+  constexpr std::size_t kAnswerBytes = 32U << 20U;  // more than sockets hold
+  MemoryServer fixture;
+  asio::ip::tcp::socket caller(fixture.loop);
+  fixture.Connect(caller);
+  asio::write(caller, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  BOOST_REQUIRE(
+      fixture.RunUntil([&] { return fixture.waiting.size() == 1; }, kTimeout));
+  fixture.waiting.front()({200, {}, std::string(kAnswerBytes, 'x')});
+  BOOST_CHECK_EQUAL(fixture.responses->taken(), kAnswerBytes);
+  caller.close();
+  BOOST_CHECK(fixture.RunUntil([&] { return fixture.responses->taken() == 0; },
+                               kTimeout));
+}
+
 // Guards against an answer whose bytes put off the time-out.
 BOOST_AUTO_TEST_CASE(DrippingAnswersEndAtTheTimeout) {
   struct Exchange {
