Say when a turn of the gateway's loop makes everything else wait

A configuration of thousands of routes held the one loop of a small VM for a quarter of a second; requests waited and connects and renewals timed out, and neither the log nor a metric said why.

A timer of the loop now tells by how late it runs how long the loop stood still, and steps that may take long are measured by themselves. loop_busy names both from 100 ms on, at most once a run of the timer; loop_busy_total counts these turns and loop_longest_turn_ms keeps the longest. config_in_force says how long parsing and applying took.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -45,9 +45,11 @@
       started_(BootClock::now()),
       self_{settings_.id, ProcessIncarnation(), settings_.peer_address,
             settings_.data_centre},
+      loop_watch_(metrics_),
       notices_(settings_.drain),
       forwarder_(loop, settings_, dialect, notices_, metrics_),
       tick_timer_(loop),
+      watch_timer_(loop),
       join_timer_(loop),
       report_timer_(loop),
       peer_request_timer_(loop),
@@ -126,6 +128,7 @@
                     {"data_centre", settings_.data_centre},
                     {"store", settings_.store_address}});
   FollowLogs();
+  WatchLoop();
   Tick();
   JoinElection();
   ReportKeyLoad();
@@ -170,7 +173,16 @@
   RegisterGateway();
 }
 
+void Gateway::Impl::WatchLoop() {
+  RunAfter(watch_timer_, LoopWatch::kInterval, [this] {
+    loop_watch_.OnTimer(watch_timer_.expiry(),
+                        std::chrono::steady_clock::now());
+    WatchLoop();
+  });
+}
+
 void Gateway::Impl::Tick() {
+  const LoopWatch::Step step(loop_watch_, "tick");
   const BootTime now = BootClock::now();
   OnRegistryChanges(
       registry_.ApplyDeferredRemovals(std::chrono::steady_clock::now()));
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -23,6 +23,7 @@
 #include "gateway/forwarder.h"
 #include "gateway/gateway.h"
 #include "gateway/lease_keeper.h"
+#include "gateway/loop_watch.h"
 #include "gateway/peer_state.h"
 #include "gateway/rejected_records.h"
 #include "gateway/store_follower.h"
@@ -109,6 +110,7 @@
   bool UsesLeases() const;
 
   void Tick();
+  void WatchLoop();
   void JoinElection();
   void ReportKeyLoad();
   // An endpoint has said that it is leaving: its keys have to move.
@@ -163,6 +165,7 @@
   const BootTime started_;
   GatewayInstance self_;  // constant once registration has started
   Metrics metrics_;
+  LoopWatch loop_watch_;
   EndpointNotices notices_;
   Forwarder forwarder_;
   EndpointRegistry registry_;
@@ -212,6 +215,7 @@
   std::map<std::string, std::unique_ptr<HttpClient>> peer_clients_;
 
   boost::asio::steady_timer tick_timer_;
+  boost::asio::steady_timer watch_timer_;
   boost::asio::steady_timer join_timer_;
   boost::asio::steady_timer report_timer_;
   boost::asio::steady_timer peer_request_timer_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -292,6 +292,7 @@
 
 HttpResponse Gateway::Impl::MakePeerStateResponse(const PeerStateRequest& query,
                                                   bool accepts_patch) {
+  const LoopWatch::Step step(loop_watch_, "state");
   PeerState state;
   // State that came from a third gateway is not passed on: without
   // store_reachable the receiver ignores the response. A gateway that stops is
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -23,6 +23,13 @@
 // lost response says little.
 constexpr int kStoreLostFailures = 2;
 
+std::string FormatMicroseconds(SteadyTime::duration duration) {
+  using std::chrono::microseconds;
+  return std::to_string(
+             std::chrono::duration_cast<microseconds>(duration).count()) +
+         "us";
+}
+
 std::string ChangeName(EndpointRegistry::Change::Kind kind) {
   using Kind = EndpointRegistry::Change::Kind;
   switch (kind) {
@@ -118,7 +125,10 @@
 }
 
 void Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
+  const LoopWatch::Step step(loop_watch_, "config");
+  const auto start = std::chrono::steady_clock::now();
   auto config = parsers_.config(text);
+  const auto parsed = std::chrono::steady_clock::now();
   if (!config) {
     metrics_.Add("configs_rejected_total", "", 1);
     return LogEvent(EventLevel::kError, "config_rejected",
@@ -146,7 +156,10 @@
            {"before", std::to_string(current)},
            {"source", source},
            {"bytes", std::to_string(text.size())},
-           {"routes", std::to_string(routes_->config().routes.size())}});
+           {"routes", std::to_string(routes_->config().routes.size())},
+           {"parsed_in", FormatMicroseconds(parsed - start)},
+           {"applied_in",
+            FormatMicroseconds(std::chrono::steady_clock::now() - parsed)}});
 }
 
 void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
@@ -173,6 +186,7 @@
 }
 
 void Gateway::Impl::OnRegistryPage(const LogPage& page) {
+  const LoopWatch::Step step(loop_watch_, "registry");
   const auto now = std::chrono::steady_clock::now();
   std::vector<EndpointRegistry::Change> changes;
   if (page.is_snapshot) {
@@ -248,6 +262,7 @@
 }
 
 void Gateway::Impl::OnLeasesPage(const LogPage& page, BootTime as_of) {
+  const LoopWatch::Step step(loop_watch_, "leases");
   for (const KeyedRecord& record : page.records) {
     const auto keeper = keepers_.find(record.key);
     const auto on_lost = [&] {
--- a/Tests/UsersPlatform/large_configuration_test.cc
+++ b/Tests/UsersPlatform/large_configuration_test.cc
@@ -1,9 +1,11 @@
 // Configurations of thousands of routes on the way from the store to all
 // gateways, whose links are narrow.
+#include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 #include <cstdio>
 #include <deque>
 #include <string>
+#include <thread>
 
 #include "Soak/loopback_proxy.h"
 #include "UsersPlatform/fleet_fixture.h"
@@ -23,6 +25,8 @@
 constexpr Milliseconds kSettled{3'000};
 constexpr int kManyRoutes = 4'300;
 constexpr int kFollowers = 6;
+// Longer than the watch on the loop takes to notice for certain.
+constexpr Milliseconds kLongTurn{300};
 
 // A configuration with the fixture's routes and as many others.
 std::string LargeConfig(const std::string& version, int routes) {
@@ -74,6 +78,21 @@
   BOOST_TEST(store.deliveries(kConfigTopic) - before == 1U);
 }
 
+// Guards against a loop that is held for long without a trace.
+BOOST_FIXTURE_TEST_CASE(a_turn_that_holds_the_loop_is_counted,
+                        LargeConfigFixture) {
+  boost::asio::post(loop, [] { std::this_thread::sleep_for(kLongTurn); });
+  HttpClient caller(loop, metrics_address, HttpClientOptions{});
+  const auto counted = [&] {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      caller.Send({"GET", "/metrics", {}, "", 0}, Milliseconds(1'000), done);
+    });
+    return outcome.response &&
+           outcome.response->body.find("loop_busy_total") != std::string::npos;
+  };
+  BOOST_TEST(RunUntil(counted, Milliseconds(1'000)));
+}
+
 // Guards against followers that all read the store as soon as their reader is
 // gone, over one link.
 BOOST_FIXTURE_TEST_CASE(followers_of_a_lost_reader_follow_the_next_one,
