--- a/Tests/UsersPlatform/large_configuration_test.cc
+++ b/Tests/UsersPlatform/large_configuration_test.cc
@@ -1,11 +1,13 @@
 // Configurations of thousands of routes on the way from the store to all
 // gateways, whose links are narrow.
+#include <boost/asio/post.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <ostream>
 #include <string>
+#include <thread>
 
 #include "Soak/loopback_proxy.h"
 #include "UsersPlatform/fleet_fixture.h"
@@ -28,6 +30,8 @@
 constexpr Milliseconds kTakeover{500};
 constexpr int kManyRoutes = 4'300;
 constexpr int kFollowers = 6;
+// Longer than the watch on the loop takes to notice for certain.
+constexpr Milliseconds kLongTurn{300};
 
 // A configuration with the fixture's routes and as many others.
 std::string LargeConfig(const std::string& version, int routes) {
@@ -120,6 +124,21 @@
                       Milliseconds(9'000)));
 }
 
+// Guards against a loop that is held for long without a trace.
+BOOST_FIXTURE_TEST_CASE(a_turn_that_holds_the_loop_is_counted,
+                        LargeConfigFixture) {
+  boost::asio::post(loop, [] { std::this_thread::sleep_for(kLongTurn); });
+  HttpClient caller(loop, metrics_address, HttpClientOptions{});
+  const auto counted = [&] {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      caller.Send({"GET", "/metrics", {}, "", 0}, Milliseconds(1'000), done);
+    });
+    return outcome.response &&
+           outcome.response->body.find("loop_busy_total") != std::string::npos;
+  };
+  BOOST_TEST(RunUntil(counted, Milliseconds(1'000)));
+}
+
 struct LossCase {
   const char* name;
   bool planned;
