Let the soak run planned work in series, and callers that keep connections

The soak's faults came one by one, its callers shared pools, and nothing checked which configuration is in force. Options set the number of gateways, endpoints, callers and data centres.

--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -18,14 +18,24 @@
   std::size_t gateways = 3;
   std::size_t endpoints = 3;  // of each of two services
   std::size_t callers = 8;
-  // Answers writes with 503 after they ran, to show that the checks notice.
+  std::size_t zones = 1;  // data centres of the gateways, at most 26
+  // Faults and planned work in series that overlap, callers with a connection
+  // of their own, and checks of the configuration. Has seeds of its own.
+  bool series = false;
+  // The next three show that the checks notice. Answers writes with 503 after
+  // they ran:
   bool break_promises = false;
+  // Cuts connections in front of the gateways:
+  bool cut_connections = false;
+  // Holds back configurations that count as written; only with series:
+  bool withhold_configurations = false;
 };
 
 struct SoakResult {
   std::vector<std::string> violations;
   int requests = 0;
   int served = 0;
+  int checked_versions = 0;         // probes for a configuration that was due
   std::vector<std::string> faults;  // with their times, for the report
 };
 
--- a/Tests/Soak/soak_main.cc
+++ b/Tests/Soak/soak_main.cc
@@ -25,6 +25,30 @@
                           "endpoints promise falsely that writes did not run; "
                           "the checks have to notice",
                           line);
+  TCLAP::ValueArg<std::size_t> gateways("n", "gateways", "gateway processes",
+                                        false, 3, "count", line);
+  TCLAP::ValueArg<std::size_t> endpoints("e", "endpoints",
+                                         "endpoints of each of two services",
+                                         false, 3, "count", line);
+  TCLAP::ValueArg<std::size_t> callers(
+      "c", "callers",
+      "callers with pooled connections; with --series as many "
+      "with a connection of their own",
+      false, 8, "count", line);
+  TCLAP::ValueArg<std::size_t> zones(
+      "z", "zones", "data centres of the gateways", false, 1, "count", line);
+  TCLAP::SwitchArg series("r", "series",
+                          "stops, reloads, configurations and faults come in "
+                          "series; has seeds of its own",
+                          line);
+  TCLAP::SwitchArg cut("x", "cut-connections",
+                       "connections to gateways are cut; the checks have to "
+                       "notice, with --series",
+                       line);
+  TCLAP::SwitchArg withhold("w", "withhold-configurations",
+                            "configurations do not reach the store; the checks "
+                            "have to notice, with --series",
+                            line);
   line.parse(argc, argv);
   int first = 1;
   int count = 1;
@@ -35,10 +59,18 @@
     options.gateway_binary = binary.getValue();
     options.directory = directory.getValue() + "/seed-" + std::to_string(seed);
     options.faults = std::chrono::seconds(length.getValue());
+    options.gateways = gateways.getValue();
+    options.endpoints = endpoints.getValue();
+    options.callers = callers.getValue();
+    options.zones = zones.getValue();
+    options.series = series.getValue();
     options.break_promises = broken.getValue();
+    options.cut_connections = cut.getValue();
+    options.withhold_configurations = withhold.getValue();
     const auto result = RunSoak(options, static_cast<std::uint32_t>(seed));
     std::cout << "seed " << seed << ": " << result.requests << " requests, "
-              << result.served << " served, " << result.faults.size()
+              << result.served << " served, " << result.checked_versions
+              << " checks of configurations, " << result.faults.size()
               << " faults, " << result.violations.size() << " violations"
               << std::endl;
     if (result.violations.empty()) continue;
