--- a/Tests/Operator/child_process.cc
+++ b/Tests/Operator/child_process.cc
@@ -59,6 +59,11 @@
   return WEXITSTATUS(*status_);
 }
 
+bool ChildProcess::HasEnded() {
+  Wait(Milliseconds(0));
+  return status_.has_value();
+}
+
 std::string ChildProcess::Output() const {
   std::ifstream file(output_file_);
   return {std::istreambuf_iterator<char>(file), {}};
--- a/Tests/Operator/child_process.h
+++ b/Tests/Operator/child_process.h
@@ -29,6 +29,9 @@
   // ended in time or was killed by a signal.
   std::optional<int> Wait(Milliseconds limit);
 
+  // Returns whether the process has ended, also by a signal.
+  bool HasEnded();
+
   // Returns what the process has written so far.
   std::string Output() const;
 
--- a/Tests/Soak/soak_fleet.cc
+++ b/Tests/Soak/soak_fleet.cc
@@ -177,7 +177,14 @@
 }
 
 void Soak::WatchStop(Gateway& gateway) {
-  if (!gateway.stopping || gateway.restarting) return;
+  if (gateway.restarting) return;
+  if (!gateway.stopping) {
+    if (!gateway.process->HasEnded()) return;
+    Violation(gateway.id + " ended by itself");
+    gateway.restarting = true;
+    After(Between(50, 500), [this, &gateway] { Start(gateway); });
+    return;
+  }
   const auto status = gateway.process->Wait(Milliseconds(0));
   const bool late =
       std::chrono::steady_clock::now() > *gateway.stopping + kGrace;
--- a/Tests/Soak/soak_series.cc
+++ b/Tests/Soak/soak_series.cc
@@ -74,7 +74,7 @@
       After(delay, [this, &gateway] { ReloadWithChange(gateway); });
     }
     After(delay, [this, &gateway] {
-      if (!healed_) Stop(gateway);
+      if (!healed_ && gateway.version > 0) Stop(gateway);
     });
     if (Pick(3) == 0) {
       After(delay + Between(0, 3'000),
@@ -84,7 +84,8 @@
 }
 
 void Soak::ReloadWithChange(Gateway& gateway) {
-  if (healed_ || gateway.restarting) return;
+  // A signal before the process handles signals ends it.
+  if (healed_ || gateway.restarting || gateway.version == 0) return;
   Note("reload " + gateway.id);
   gateway.settings["bounds"]["retry_budget_slack"] = 100 + ++reloads_;
   const std::string text = gateway.settings.dump();
