--- a/Tests/Soak/soak_main.cc
+++ b/Tests/Soak/soak_main.cc
@@ -1,8 +1,14 @@
 // balsamhall-soak: gateway processes under random faults, seed by seed.
+#include <sys/wait.h>
 #include <tclap/CmdLine.h>
+#include <unistd.h>
 
 #include <cstdio>
 #include <iostream>
+#include <sstream>
+#include <stdexcept>
+#include <string>
+#include <vector>
 
 #include "Soak/soak.h"
 
@@ -11,10 +17,76 @@
 using balsamhall::soak::RunSoak;
 using balsamhall::soak::SoakOptions;
 
+// Reads ranges "FIRST:COUNT", divided by commas; ":COUNT" may be missing.
+std::vector<int> ParseSeeds(const std::string& text) {
+  std::vector<int> seeds;
+  std::istringstream ranges(text);
+  for (std::string range; std::getline(ranges, range, ',');) {
+    int first = 1;
+    int count = 1;
+    std::sscanf(range.c_str(), "%d:%d", &first, &count);
+    for (int i = 0; i < count; ++i) seeds.push_back(first + i);
+  }
+  return seeds;
+}
+
+// Returns whether nothing was violated.
+bool RunSeed(SoakOptions options, int seed) {
+  options.directory += "/seed-" + std::to_string(seed);
+  const auto result = RunSoak(options, static_cast<std::uint32_t>(seed));
+  std::ostringstream report;
+  report << "seed " << seed << ": " << result.requests << " requests, "
+         << result.served << " served, " << result.checked_versions
+         << " checks of configurations, " << result.faults.size() << " faults, "
+         << result.violations.size() << " violations\n";
+  if (!result.violations.empty()) {
+    for (const auto& fault : result.faults) report << "  " << fault << "\n";
+  }
+  std::cout << report.str() << std::flush;
+  return result.violations.empty();
+}
+
+// Waits for one of the processes of RunSeeds; returns whether it succeeded.
+bool AwaitSeed() {
+  int status = 0;
+  return ::wait(&status) > 0 && WIFEXITED(status) && WEXITSTATUS(status) == 0;
+}
+
+// Runs up to so many seeds at once, in a process each.
+bool RunSeeds(const SoakOptions& options, const std::vector<int>& seeds,
+              int jobs) {
+  bool passed = true;
+  int running = 0;
+  for (const int seed : seeds) {
+    if (jobs == 1) {
+      passed = RunSeed(options, seed) && passed;
+      continue;
+    }
+    if (running == jobs) {
+      passed = AwaitSeed() && passed;
+      --running;
+    }
+    const pid_t child = ::fork();
+    if (child < 0) throw std::runtime_error("can't start a process");
+    if (child == 0) {
+      int status = 2;
+      try {
+        status = RunSeed(options, seed) ? 0 : 1;
+      } catch (const std::exception& error) {
+        std::cerr << "balsamhall-soak: " << error.what() << "\n";
+      }
+      ::_exit(status);
+    }
+    ++running;
+  }
+  for (; running > 0; --running) passed = AwaitSeed() && passed;
+  return passed;
+}
+
 int Main(int argc, const char* const* argv) {
   TCLAP::CmdLine line("Fault soak of balsamhall-gateway", ' ', "1");
-  TCLAP::ValueArg<std::string> seeds("s", "seeds", "FIRST:COUNT", false, "1:1",
-                                     "seeds", line);
+  TCLAP::ValueArg<std::string> seeds("s", "seeds", "FIRST:COUNT,...", false,
+                                     "1:1", "seeds", line);
   TCLAP::ValueArg<std::string> binary("g", "gateway", "the gateway's binary",
                                       true, "", "file", line);
   TCLAP::ValueArg<std::string> directory(
@@ -25,6 +97,8 @@
                           "endpoints promise falsely that writes did not run; "
                           "the checks have to notice",
                           line);
+  TCLAP::ValueArg<int> jobs("j", "jobs", "seeds that run at once", false, 1,
+                            "count", line);
   TCLAP::ValueArg<std::size_t> gateways("n", "gateways", "gateway processes",
                                         false, 3, "count", line);
   TCLAP::ValueArg<std::size_t> endpoints("e", "endpoints",
@@ -50,34 +124,20 @@
                             "have to notice, with --series",
                             line);
   line.parse(argc, argv);
-  int first = 1;
-  int count = 1;
-  std::sscanf(seeds.getValue().c_str(), "%d:%d", &first, &count);
-  int failed = 0;
-  for (int seed = first; seed < first + count; ++seed) {
-    SoakOptions options;
-    options.gateway_binary = binary.getValue();
-    options.directory = directory.getValue() + "/seed-" + std::to_string(seed);
-    options.faults = std::chrono::seconds(length.getValue());
-    options.gateways = gateways.getValue();
-    options.endpoints = endpoints.getValue();
-    options.callers = callers.getValue();
-    options.zones = zones.getValue();
-    options.series = series.getValue();
-    options.break_promises = broken.getValue();
-    options.cut_connections = cut.getValue();
-    options.withhold_configurations = withhold.getValue();
-    const auto result = RunSoak(options, static_cast<std::uint32_t>(seed));
-    std::cout << "seed " << seed << ": " << result.requests << " requests, "
-              << result.served << " served, " << result.checked_versions
-              << " checks of configurations, " << result.faults.size()
-              << " faults, " << result.violations.size() << " violations"
-              << std::endl;
-    if (result.violations.empty()) continue;
-    ++failed;
-    for (const auto& fault : result.faults) std::cout << "  " << fault << "\n";
-  }
-  return failed == 0 ? 0 : 1;
+  SoakOptions options;
+  options.gateway_binary = binary.getValue();
+  options.directory = directory.getValue();
+  options.faults = std::chrono::seconds(length.getValue());
+  options.gateways = gateways.getValue();
+  options.endpoints = endpoints.getValue();
+  options.callers = callers.getValue();
+  options.zones = zones.getValue();
+  options.series = series.getValue();
+  options.break_promises = broken.getValue();
+  options.cut_connections = cut.getValue();
+  options.withhold_configurations = withhold.getValue();
+  return RunSeeds(options, ParseSeeds(seeds.getValue()), jobs.getValue()) ? 0
+                                                                          : 1;
 }
 
 }  // namespace
