--- a/Tests/Soak/soak_config_check.cc
+++ b/Tests/Soak/soak_config_check.cc
@@ -21,7 +21,7 @@
 constexpr std::size_t kNarrowBytesPerMs = 500;
 // Configurations of this time before one may still be under way.
 constexpr Milliseconds kUnderWay{10'000};
-// The first configurations have a few routes, later ones thousands.
+// Further routes of some configurations.
 constexpr int kMinBulk = 1'500;
 constexpr int kMaxBulk = 4'300;
 constexpr unsigned kNotFound = 404;
