--- a/Tests/UsersPlatform/half_closed_caller_test.cc
+++ b/Tests/UsersPlatform/half_closed_caller_test.cc
@@ -19,6 +19,7 @@
 namespace data = boost::unit_test::data;
 using tcp = asio::ip::tcp;
 
+constexpr int kCallers = 60;
 constexpr Milliseconds kWorkTime{700};
 constexpr Milliseconds kMaxWorkAfterLeaving{500};
 
@@ -28,7 +29,7 @@
     const HttpRequest request = GatewayFixture::Request(target, this->id);
     std::string text = request.method + " " + target + " HTTP/1.1\r\n";
     for (const auto& [name, value] : request.headers) {
-      text += name + ": " + value + "\r\n";
+      text.append(name).append(": ").append(value).append("\r\n");
     }
     text += "Content-Length: 0\r\n\r\n";
     socket.connect(*http_wire::ParseAddress(fixture.front_address));
@@ -99,10 +100,10 @@
 // The endpoints have more to do than they take at a time.
 BOOST_DATA_TEST_CASE_F(GatewayFixture, answers_to_half_closed_callers_are_true,
                        data::make(kHalfCloseCases), input) {
-  constexpr int kCallers = 60;
   plain1.set_work_time(kWorkTime);
   plain2.set_work_time(kWorkTime);
   std::vector<std::unique_ptr<RawCaller>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::make_unique<RawCaller>(*this, input.target,
                                                   "r" + std::to_string(i)));
