Give up the responses of the endpoint that holds most

When unfinished responses had filled their memory, the next one that grew was refused, whichever endpoint sent it: requests of other clients to sound endpoints paid for a faulty one. Nothing named the faulty endpoint, and it went on getting its share of requests.

A response without room now ends the largest ones of the endpoint that holds most, unless that is its own. Two responses in a row that are refused as too large keep their endpoint out like two time-outs in a row, longer each time. response_too_large names the endpoint in the log, responses_too_large_total in the metrics.

--- a/Source/gateway/endpoint_load.cc
+++ b/Source/gateway/endpoint_load.cc
@@ -34,8 +34,9 @@
 // The registry removes an endpoint without heartbeats after three intervals of
 // about a second (users' protocol page); the rest covers the poll interval.
 constexpr Milliseconds kReplacedEjection{5'000};
-// A single timeout may be due to the connection.
-constexpr int kTimeoutsBeforeEjection = 2;
+// A single timeout may be due to the connection, a single response that is too
+// large to its request.
+constexpr int kFailuresBeforeEjection = 2;
 
 double HalfLives(SteadyTime::duration age) {
   const std::chrono::duration<double> half_life = kAverageHalfLife;
@@ -146,8 +147,8 @@
     return;
   }
   ++consecutive_failures_;
-  if (failure == EndpointFailure::kTimeout &&
-      consecutive_failures_ < kTimeoutsBeforeEjection) {
+  if (failure != EndpointFailure::kUnreachable &&
+      consecutive_failures_ < kFailuresBeforeEjection) {
     return;
   }
   // Requests sent at the same time fail together and cause only one ejection.
--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -23,6 +23,7 @@
   kUnreachable,  // no connection
   kTimeout,      // no response in time
   kBadResponse,  // truncated, invalid or error response
+  kTooLarge,     // response larger than is accepted
   kReplaced,     // another endpoint responded at its address
 };
 
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -418,6 +418,7 @@
     const EndpointFailure kind =
         failure == HttpFailure::kNotSent   ? EndpointFailure::kUnreachable
         : failure == HttpFailure::kTimeout ? EndpointFailure::kTimeout
+        : outcome.error.too_large          ? EndpointFailure::kTooLarge
                                            : EndpointFailure::kBadResponse;
     OnAttemptFailed(*exchange, kind, failure == HttpFailure::kNotSent,
                     outcome.error.detail);
@@ -573,6 +574,18 @@
   exchange.service->scheduler.OnFailure(exchange.id, exchange.endpoint.ref,
                                         failure, Now());
   exchange.history += exchange.endpoint.ref.id + ":" + detail + ";";
+  if (failure == EndpointFailure::kTooLarge) {
+    metrics_.Add("responses_too_large_total",
+                 "service=\"" + exchange.service->name + "\",endpoint=\"" +
+                     exchange.endpoint.ref.id + "\"",
+                 1);
+    log_.Write(RequestLog::Kind::kFailed, "response_too_large", 0,
+               {{"request", exchange.caller.id},
+                {"endpoint", exchange.endpoint.ref.ToString()},
+                {"address", exchange.endpoint.address},
+                {"detail", detail}},
+               Now());
+  }
   if (not_sent) {
     // No byte was sent, so another attempt adds no load to an endpoint.
     --exchange.attempts;
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -37,6 +37,8 @@
 // A connection is not reused within this time before the server closes it.
 constexpr Milliseconds kKeepAliveMargin{1000};
 
+constexpr const char* kNoMemory = "no memory left for the answer";
+
 constexpr std::string_view kTimeoutParameter = "timeout=";
 
 // Interim responses come ahead of the final one.
@@ -67,14 +69,26 @@
   HeldText& operator=(const HeldText&) = delete;
   ~HeldText() { Return(); }
 
-  void set_memory(std::shared_ptr<BodyMemory> memory) {
+  // given_up is called when the text is dropped for another source's. It may
+  // not destroy this object.
+  void set_memory(std::shared_ptr<BodyMemory> memory, std::string source,
+                  std::function<void()> given_up) {
     memory_ = std::move(memory);
-  }
+    body_.source = std::move(source);
+    body_.give_up = [this, given_up = std::move(given_up)] {
+      std::string().swap(text_);
+      given_up_ = true;
+      Return();
+      given_up();
+    };
+  }
+  bool given_up() const { return given_up_; }
   // No capacity is taken beyond so many bytes unless they have arrived.
   void set_expected(std::size_t bytes) { expected_ = bytes; }
   std::size_t size() const { return text_.size(); }
   // Returns false if there is no memory left.
   bool Append(std::string_view bytes) {
+    if (given_up_) return false;
     const std::size_t needed = text_.size() + bytes.size();
     if (needed > taken_ && !Grow(needed)) return false;
     text_ += bytes;
@@ -89,7 +103,7 @@
   bool Grow(std::size_t needed) {
     const std::size_t capacity =
         std::max(needed, std::min(2 * taken_, expected_));
-    if (memory_ && !memory_->Take(capacity - taken_, taken_)) return false;
+    if (memory_ && !memory_->Grow(body_, capacity - taken_)) return false;
     taken_ = capacity;
     // reserve() of a string that has text may allocate more than this.
     std::string grown;
@@ -99,10 +113,13 @@
     return true;
   }
   void Return() {
-    if (memory_) memory_->Return(std::exchange(taken_, 0));
+    if (memory_) memory_->Release(body_);
+    taken_ = 0;
   }
 
   std::shared_ptr<BodyMemory> memory_;
+  UnfinishedBody body_;
+  bool given_up_ = false;
   std::size_t expected_ = 0;
   std::size_t taken_ = 0;
   std::string text_;
@@ -232,12 +249,18 @@
   // Reads the message behind one that does not end the exchange.
   void ReadNext();
   void OnRead(error_code error);
+  // Ends the exchange later, because another connection is being read now.
+  void OnGivenUp();
+  void FinishTooLarge(const std::string& detail) {
+    FinishFailed(HttpFailure::kBadAnswer, "read: " + detail, true);
+  }
   // Returns true unless the response may belong to another request.
   bool Answers(const HttpResponse& response) const;
   void Finish(Outcome outcome, bool reusable);
-  void FinishFailed(HttpFailure failure, std::string detail) {
+  void FinishFailed(HttpFailure failure, std::string detail,
+                    bool too_large = false) {
     reset_ = true;
-    Finish({std::nullopt, {failure, std::move(detail)}, 0}, false);
+    Finish({std::nullopt, {failure, std::move(detail), too_large}, 0}, false);
   }
 
   std::shared_ptr<Impl> client_;
@@ -406,7 +429,8 @@
   stage_ = Stage::kReading;
   parser_.emplace();
   parser_->body_limit(client_->options_.max_body_bytes);
-  parser_->get().body().set_memory(client_->options_.answer_memory);
+  parser_->get().body().set_memory(client_->options_.answer_memory,
+                                   client_->address_, [this] { OnGivenUp(); });
   parser_->get().body().set_expected(client_->options_.max_body_bytes);
   http::async_read(
       socket_, buffer_, *parser_,
@@ -422,7 +446,21 @@
   Read();
 }
 
+void HttpClient::Impl::Connection::OnGivenUp() {
+  asio::post(client_->executor_,
+             [self = shared_from_this(), exchange = exchange_] {
+               if (exchange != self->exchange_) return;
+               if (self->stage_ != Stage::kReading) return;
+               self->FinishTooLarge(kNoMemory);
+             });
+}
+
 void HttpClient::Impl::Connection::OnRead(error_code error) {
+  if (parser_->get().body().given_up()) return FinishTooLarge(kNoMemory);
+  if (error == http::error::body_limit || error == http::error::header_limit ||
+      error == http::error::buffer_overflow) {
+    return FinishTooLarge(error.message());
+  }
   if (error) {
     const bool closed =
         !parser_->got_some() && (error == http::error::end_of_stream ||
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -64,6 +64,8 @@
 struct HttpError {
   HttpFailure failure = HttpFailure::kNotSent;
   std::string detail;
+  // The server sent more than is accepted, or than there is memory for.
+  bool too_large = false;
 };
 
 // Not thread-safe: all calls and callbacks run on the loop's thread. A
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -351,6 +351,44 @@
   BOOST_CHECK(memory.Take(500, 0));
 }
 
+// Guards against answers that fail because another server's hold the memory.
+BOOST_AUTO_TEST_CASE(TheServerThatHoldsMostGivesWay) {
+  constexpr int kLong = 5;
+  constexpr std::size_t kMegabyte = 1U << 20U;
+  constexpr std::size_t kLongBytes = 3 * kMegabyte;
+  constexpr std::size_t kSoundBytes = 6 * kMegabyte;
+  Fixture fixture;
+  fixture.options.max_body_bytes = 8 * kMegabyte;
+  fixture.options.answer_memory = std::make_shared<BodyMemory>(24 * kMegabyte);
+  const auto head = [](std::size_t bytes) {
+    return kOk + "Content-Length: " + std::to_string(bytes) + "\r\n\r\n";
+  };
+  const EndlessServer faulty({head(kLongBytes), "x", {}, kLongBytes - 1});
+  const EndlessServer sound(
+      {head(kSoundBytes) + std::string(kSoundBytes, 'x'), "", {}});
+  HttpClient faulty_client(fixture.loop, faulty.address(), fixture.options);
+  HttpClient sound_client(fixture.loop, sound.address(), fixture.options);
+  int given_up = 0;
+  for (int i = 0; i < kLong; ++i) {
+    faulty_client.Send({"GET", "/", {}, "", 0}, 2 * kTimeout,
+                       [&](const HttpClient::Outcome& outcome) {
+                         if (outcome.error.too_large) ++given_up;
+                       });
+  }
+  BOOST_REQUIRE(fixture.RunUntil(
+      [&] {
+        return fixture.options.answer_memory->taken() == kLong * kLongBytes;
+      },
+      kTimeout));
+  const auto outcome = Await<HttpClient::Outcome>(fixture.loop, [&](auto done) {
+    sound_client.Send({"GET", "/", {}, "", 0}, kTimeout, done);
+  });
+  BOOST_REQUIRE_MESSAGE(outcome.response, outcome.error.detail);
+  BOOST_CHECK_EQUAL(outcome.response->body.size(), kSoundBytes);
+  BOOST_CHECK(fixture.RunUntil([&] { return given_up > 0; }, kTimeout));
+  BOOST_CHECK_EQUAL(given_up, 1);
+}
+
 struct MemoryServer : Fixture {
   MemoryServer()
       : server(loop, {}, [this](HttpRequest, auto respond) {
--- a/Tests/UsersPlatform/endless_bytes_test.cc
+++ b/Tests/UsersPlatform/endless_bytes_test.cc
@@ -230,9 +230,20 @@
     return sum;
   };
   std::size_t most = 0;
+  std::vector<unsigned> small_statuses;
+  int small_sent = 0;
+  const auto send_small = [&] {
+    fixture.front->Send(
+        fixture.Request("/keyed/1", "small" + std::to_string(small_sent++)),
+        Milliseconds(2'000), [&](const HttpClient::Outcome& outcome) {
+          small_statuses.push_back(outcome.response ? outcome.response->status
+                                                    : 0U);
+        });
+  };
   BOOST_CHECK(fixture.RunUntil(
       [&] {
         most = std::max(most, ResidentBytes());
+        send_small();
         return statuses.size() == kWrites;
       },
       Milliseconds(4'000)));
@@ -242,6 +253,21 @@
   BOOST_CHECK_GT(refused, 0);
   BOOST_CHECK_EQUAL(refused + std::ranges::count(statuses, 504U), kWrites);
   BOOST_CHECK_LT(most, kVmBytes);
+  BOOST_CHECK(fixture.RunUntil(
+      [&] { return static_cast<int>(small_statuses.size()) == small_sent; }));
+  BOOST_CHECK_EQUAL(std::ranges::count(small_statuses, 200U), small_sent);
+  // The faulty endpoints are named, and get no requests for a while.
+  HttpClient metrics(fixture.loop, fixture.metrics_address, {});
+  const auto outcome = Await<HttpClient::Outcome>(fixture.loop, [&](auto done) {
+    metrics.Send({"GET", "/metrics", {}, "", 0}, Milliseconds(1'000), done);
+  });
+  BOOST_REQUIRE(outcome.response);
+  for (int i = 0; i < kServers; ++i) {
+    BOOST_CHECK(outcome.response->body.find(
+                    "responses_too_large_total{service=\"plain\",endpoint="
+                    "\"i-9" +
+                    std::to_string(i)) != std::string::npos);
+  }
   // The memory is free again.
   BOOST_CHECK_EQUAL(fixture.Send(fixture.Request("/keyed/1", "keyed")).status,
                     200U);
--- a/Tests/UsersPlatform/gateway_fixture.h
+++ b/Tests/UsersPlatform/gateway_fixture.h
@@ -103,6 +103,7 @@
     const auto settings = Settings(addresses, "gateway-1", store_address);
     front_address = settings.front_address;
     peer_address = settings.peer_address;
+    metrics_address = settings.metrics_address;
     store.Put("keyed.op", "config", Config("00000001").dump());
     for (UsersEndpoint* endpoint : {&plain1, &plain2}) {
       endpoint->Listen();
@@ -180,6 +181,7 @@
   std::string store_address;
   std::string front_address;  // of the gateway under test
   std::string peer_address;   // of the gateway under test
+  std::string metrics_address;
   UsersEndpoint plain1{loop, "i-1", false};
   UsersEndpoint plain2{loop, "i-2", false};
   UsersEndpoint keyed{loop, "i-3", true};
