--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -65,7 +65,8 @@
                                    const std::string& address,
                                    HttpServerOptions options,
                                    HttpServer::Handler handler) {
-  server = std::make_unique<HttpServer>(loop_, options, std::move(handler));
+  server = std::make_unique<HttpServer>(loop_, std::move(options),
+                                        std::move(handler));
   const auto port = server->Listen(address);
   if (!port) return port.error();
   return boost::outcome_v2::success();
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -59,7 +59,7 @@
   class Session;
 
   Impl(asio::io_context& loop, HttpServerOptions options, Handler handler)
-      : options_(options),
+      : options_(std::move(options)),
         handler_(std::move(handler)),
         acceptor_(loop.get_executor()),
         sweep_timer_(loop.get_executor()),
@@ -619,7 +619,8 @@
 
 HttpServer::HttpServer(asio::io_context& loop, HttpServerOptions options,
                        Handler handler)
-    : impl_(std::make_shared<Impl>(loop, options, std::move(handler))) {}
+    : impl_(std::make_shared<Impl>(loop, std::move(options),
+                                   std::move(handler))) {}
 
 // Cancelling a timer and closing a socket do not throw on Linux.
 // NOLINTNEXTLINE(bugprone-exception-escape)
@@ -638,7 +639,7 @@
 }
 
 void HttpServer::set_options(HttpServerOptions options) {
-  impl_->options_ = options;
+  impl_->options_ = std::move(options);
 }
 
 void HttpServer::AnnounceClose() { impl_->closing_ = true; }
--- a/Tests/Net/endless_bytes_test.cc
+++ b/Tests/Net/endless_bytes_test.cc
@@ -39,6 +39,13 @@
 constexpr Milliseconds kMaxLateness{500};
 constexpr std::size_t kMaxGrowthBytes = 16U << 20U;
 constexpr Milliseconds kTick{5};
+constexpr std::size_t kMegabyte = 1U << 20U;
+constexpr std::size_t kLongBytes = 3 * kMegabyte;
+constexpr std::size_t kSoundBytes = 6 * kMegabyte;
+constexpr int kExchanges = 16;
+constexpr std::size_t kStatedBytes = 8U << 20U;
+constexpr int kLong = 5;
+constexpr std::size_t kAnswerBytes = 32U << 20U;  // more than sockets hold
 
 std::size_t ResidentBytes() {
   std::size_t pages = 0;
@@ -317,8 +324,6 @@
 
 // Guards against memory that is allocated for bytes that were only announced.
 BOOST_AUTO_TEST_CASE(StatedLengthsTakeNoMemory) {
-  constexpr int kExchanges = 16;
-  constexpr std::size_t kStatedBytes = 8U << 20U;
   Fixture fixture;
   fixture.options.max_body_bytes = kStatedBytes;
   const EndlessServer server(
@@ -353,10 +358,6 @@
 
 // Guards against answers that fail because another server's hold the memory.
 BOOST_AUTO_TEST_CASE(TheServerThatHoldsMostGivesWay) {
-  constexpr int kLong = 5;
-  constexpr std::size_t kMegabyte = 1U << 20U;
-  constexpr std::size_t kLongBytes = 3 * kMegabyte;
-  constexpr std::size_t kSoundBytes = 6 * kMegabyte;
   Fixture fixture;
   fixture.options.max_body_bytes = 8 * kMegabyte;
   fixture.options.answer_memory = std::make_shared<BodyMemory>(24 * kMegabyte);
@@ -391,7 +392,7 @@
 
 struct MemoryServer : Fixture {
   MemoryServer()
-      : server(loop, {}, [this](HttpRequest, auto respond) {
+      : server(loop, {}, [this](const HttpRequest&, auto respond) {
           waiting.push_back(std::move(respond));
         }) {
     HttpServerOptions limits;
@@ -473,7 +474,6 @@
 
 // Guards against answers that wait for a slow caller and are not counted.
 BOOST_AUTO_TEST_CASE(AnswersThatWaitForTheirCallersAreCounted) {
-  constexpr std::size_t kAnswerBytes = 32U << 20U;  // more than sockets hold
   MemoryServer fixture;
   asio::ip::tcp::socket caller(fixture.loop);
   fixture.Connect(caller);
