Apply only the newest configuration of a page of the store

A gateway that reads several versions on one page put each in force, with new tables, endpoints and patches for its followers, although the next one replaced it in the same turn of the loop.

All valid versions of a page are still parsed, which costs little once the first is known, because the newest one need not be the last and an invalid one has to be reported; the others are logged as config_ignored.

only_the_newest_version_of_a_page_is_applied failed before: version 3 was in force before 5, and was kept as a base of patches.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -87,7 +87,15 @@
   // Records whether a call to the store succeeded.
   void OnStoreResult(bool success, const std::string& detail);
   void OnConfigPage(const LogPage& page);
+  struct ParsedConfig {
+    RoutingConfig config;
+    SteadyTime::duration parsed_in;
+  };
+  // Returns nullopt after logging that the text is invalid.
+  std::optional<ParsedConfig> ParseConfig(const std::string& text);
   // source: for the log.
+  void ApplyConfig(ParsedConfig parsed, const std::string& text,
+                   const char* source);
   void ApplyConfig(const std::string& text, const char* source);
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -116,33 +116,61 @@
 }
 
 void Gateway::Impl::OnConfigPage(const LogPage& page) {
+  const LoopWatch::Step step(loop_watch_, "config");
+  // Only the newest version is applied. It need not be the last one.
+  std::optional<ParsedConfig> newest;
+  const std::string* text = nullptr;
   for (const KeyedRecord& record : page.records) {
-    if (record.key == parsers_.config_key && record.value) {
-      ApplyConfig(*record.value, "store");
+    if (record.key != parsers_.config_key || !record.value) continue;
+    auto parsed = ParseConfig(*record.value);
+    if (!parsed) continue;
+    if (newest) {
+      const auto versions =
+          std::minmax(newest->config.version, parsed->config.version);
+      LogInfo("config_ignored", {{"version", std::to_string(versions.first)},
+                                 {"current", std::to_string(versions.second)}});
     }
+    if (newest && parsed->config.version <= newest->config.version) continue;
+    newest = std::move(parsed);
+    text = &*record.value;
   }
+  if (newest) ApplyConfig(std::move(*newest), *text, "store");
   config_offset_ = std::max(config_offset_, page.next);
 }
 
-void Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
-  const LoopWatch::Step step(loop_watch_, "config");
+std::optional<Gateway::Impl::ParsedConfig> Gateway::Impl::ParseConfig(
+    const std::string& text) {
   const auto start = std::chrono::steady_clock::now();
   auto config = parsers_.config(text);
-  const auto parsed = std::chrono::steady_clock::now();
   if (!config) {
     metrics_.Add("configs_rejected_total", "", 1);
-    return LogEvent(EventLevel::kError, "config_rejected",
-                    static_cast<unsigned>(config.error().code),
-                    {{"detail", config.error().detail}});
+    LogEvent(EventLevel::kError, "config_rejected",
+             static_cast<unsigned>(config.error().code),
+             {{"detail", config.error().detail}});
+    return std::nullopt;
+  }
+  return ParsedConfig{std::move(config.value()),
+                      std::chrono::steady_clock::now() - start};
+}
+
+void Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
+  const LoopWatch::Step step(loop_watch_, "config");
+  if (auto parsed = ParseConfig(text)) {
+    ApplyConfig(std::move(*parsed), text, source);
   }
-  const auto version = config.value().version;
+}
+
+void Gateway::Impl::ApplyConfig(ParsedConfig parsed, const std::string& text,
+                                const char* source) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto version = parsed.config.version;
   const auto current = routes_ ? routes_->config().version : 0;
   if (routes_ && version <= current) {
     return LogInfo("config_ignored", {{"version", std::to_string(version)},
                                       {"current", std::to_string(current)}});
   }
   configs_.Add(version, text);
-  routes_ = std::make_shared<const RouteTable>(std::move(config.value()));
+  routes_ = std::make_shared<const RouteTable>(std::move(parsed.config));
   ApplyLimits();
   forwarder_.SetRoutes(routes_);
   ApplyEndpoints();
@@ -157,9 +185,9 @@
            {"source", source},
            {"bytes", std::to_string(text.size())},
            {"routes", std::to_string(routes_->config().routes.size())},
-           {"parsed_in", FormatMicroseconds(parsed - start)},
+           {"parsed_in", FormatMicroseconds(parsed.parsed_in)},
            {"applied_in",
-            FormatMicroseconds(std::chrono::steady_clock::now() - parsed)}});
+            FormatMicroseconds(std::chrono::steady_clock::now() - start)}});
 }
 
 void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
--- a/Tests/UsersPlatform/large_configuration_test.cc
+++ b/Tests/UsersPlatform/large_configuration_test.cc
@@ -78,6 +78,41 @@
   BOOST_TEST(store.deliveries(kConfigTopic) - before == 1U);
 }
 
+// Guards against versions that hold the loop although a later one of the same
+// page replaces them at once, and against one that reverts a newer one. Only a
+// version that was in force is kept as a base of patches.
+BOOST_FIXTURE_TEST_CASE(only_the_newest_version_of_a_page_is_applied,
+                        LargeConfigFixture) {
+  for (const char* text : {"00000003", "00000005", "00000004"}) {
+    store.Put(kConfigTopic, "config", LargeConfig(text, 1));
+  }
+  store.Put(kConfigTopic, "config", "{");
+  HttpClient peer(loop, peer_address, HttpClientOptions{});
+  const auto state_for = [&](int version) {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      peer.Send({"GET",
+                 "/state/" + std::to_string(version) + "/0/0",
+                 {{"Balsamhall-Accept-Patch", "1"}},
+                 "",
+                 0},
+                Milliseconds(500), done);
+    });
+    BOOST_REQUIRE(outcome.response);
+    auto state = gateway::ParsePeerState(outcome.response->body);
+    BOOST_REQUIRE(state);
+    return std::move(state.value());
+  };
+  const auto has_patch_for = [&](int version) {
+    const auto patch = state_for(version).config_patch;
+    return patch && patch->base_version == static_cast<std::uint64_t>(version);
+  };
+  RunFor(loop, kSettled);
+  BOOST_TEST(has_patch_for(1));
+  BOOST_TEST(!has_patch_for(3));
+  BOOST_TEST(!has_patch_for(4));
+  BOOST_TEST(!state_for(5).config_patch.has_value());
+}
+
 // Guards against a loop that is held for long without a trace.
 BOOST_FIXTURE_TEST_CASE(a_turn_that_holds_the_loop_is_counted,
                         LargeConfigFixture) {
