--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -120,36 +120,66 @@
 }
 
 void Gateway::Impl::OnConfigPage(const LogPage& page) {
-  bool valid = true;
+  const LoopWatch::Step step(loop_watch_, "config");
+  // Only the newest version is applied. It need not be the last one.
+  std::optional<ParsedConfig> newest;
+  const std::string* text = nullptr;
+  // A later gateway may understand what this one rejects, so that is not passed
+  // on as read.
+  bool last_is_valid = true;
   for (const KeyedRecord& record : page.records) {
-    if (record.key == parsers_.config_key && record.value) {
-      valid = ApplyConfig(*record.value, "store");
+    if (record.key != parsers_.config_key || !record.value) continue;
+    auto parsed = ParseConfig(*record.value);
+    last_is_valid = parsed.has_value();
+    if (!parsed) continue;
+    if (newest) {
+      const auto versions =
+          std::minmax(newest->config.version, parsed->config.version);
+      LogInfo("config_ignored", {{"version", std::to_string(versions.first)},
+                                 {"current", std::to_string(versions.second)}});
     }
+    if (newest && parsed->config.version <= newest->config.version) continue;
+    newest = std::move(parsed);
+    text = &*record.value;
   }
-  if (valid) config_offset_ = std::max(config_offset_, page.next);
+  if (newest) ApplyConfig(std::move(*newest), *text, "store");
+  if (last_is_valid) config_offset_ = std::max(config_offset_, page.next);
 }
 
-bool Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
-  const LoopWatch::Step step(loop_watch_, "config");
+std::optional<Gateway::Impl::ParsedConfig> Gateway::Impl::ParseConfig(
+    const std::string& text) {
   const auto start = std::chrono::steady_clock::now();
   auto config = parsers_.config(text);
-  const auto parsed = std::chrono::steady_clock::now();
   if (!config) {
     metrics_.Add("configs_rejected_total", "", 1);
     LogEvent(EventLevel::kError, "config_rejected",
              static_cast<unsigned>(config.error().code),
              {{"detail", config.error().detail}});
-    return false;
+    return std::nullopt;
   }
-  const auto version = config.value().version;
+  return ParsedConfig{std::move(config.value()),
+                      std::chrono::steady_clock::now() - start};
+}
+
+bool Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
+  const LoopWatch::Step step(loop_watch_, "config");
+  auto parsed = ParseConfig(text);
+  if (!parsed) return false;
+  ApplyConfig(std::move(*parsed), text, source);
+  return true;
+}
+
+void Gateway::Impl::ApplyConfig(ParsedConfig parsed, const std::string& text,
+                                const char* source) {
+  const auto start = std::chrono::steady_clock::now();
+  const auto version = parsed.config.version;
   const auto current = routes_ ? routes_->config().version : 0;
   if (routes_ && version <= current) {
-    LogInfo("config_ignored", {{"version", std::to_string(version)},
-                               {"current", std::to_string(current)}});
-    return true;
+    return LogInfo("config_ignored", {{"version", std::to_string(version)},
+                                      {"current", std::to_string(current)}});
   }
   configs_.Add(version, text);
-  routes_ = std::make_shared<const RouteTable>(std::move(config.value()));
+  routes_ = std::make_shared<const RouteTable>(std::move(parsed.config));
   ApplyLimits();
   forwarder_.SetRoutes(routes_);
   ApplyEndpoints();
@@ -164,10 +194,9 @@
            {"source", source},
            {"bytes", std::to_string(text.size())},
            {"routes", std::to_string(routes_->config().routes.size())},
-           {"parsed_in", FormatMicroseconds(parsed - start)},
+           {"parsed_in", FormatMicroseconds(parsed.parsed_in)},
            {"applied_in",
-            FormatMicroseconds(std::chrono::steady_clock::now() - parsed)}});
-  return true;
+            FormatMicroseconds(std::chrono::steady_clock::now() - start)}});
 }
 
 void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
