Change the idle limit with each configuration of the soak's series

A limit that has just become shorter can end a connection with a request on its way. The series kept it at 15 s, above the idle times of its callers.

--- a/Tests/Soak/soak_config_check.cc
+++ b/Tests/Soak/soak_config_check.cc
@@ -42,6 +42,9 @@
   const int bulk =
       Pick(4) == 0 ? static_cast<int>(Between(kMinBulk, kMaxBulk).count()) : 0;
   for (int i = 0; i < bulk; ++i) add("bulk" + std::to_string(i));
+  // Callers keep connections idle for longer than the shorter limits.
+  config["limits"]["idle_timeout"] =
+      std::to_string(Between(500, 15'000).count()) + "ms";
   const std::string text = config.dump();
   versions_.resize(static_cast<std::size_t>(config_) + 1);
   versions_.back() = {std::chrono::steady_clock::now(), text.size()};
