--- a/Tests/UsersPlatform/fleet_fixture.h
+++ b/Tests/UsersFleet/fleet_fixture.h
@@ -1,6 +1,6 @@
 // Several gateways on one loop, in front of the same endpoints and store.
-#ifndef BALSAMHALL_TESTS_USERSPLATFORM_FLEET_FIXTURE_H_
-#define BALSAMHALL_TESTS_USERSPLATFORM_FLEET_FIXTURE_H_
+#ifndef BALSAMHALL_TESTS_USERSFLEET_FLEET_FIXTURE_H_
+#define BALSAMHALL_TESTS_USERSFLEET_FLEET_FIXTURE_H_
 
 #include <optional>
 #include <string>
@@ -75,4 +75,4 @@
 
 }  // namespace balsamhall::platform
 
-#endif  // BALSAMHALL_TESTS_USERSPLATFORM_FLEET_FIXTURE_H_
+#endif  // BALSAMHALL_TESTS_USERSFLEET_FLEET_FIXTURE_H_
--- a/Tests/UsersPlatform/gateway_peers_test.cc
+++ b/Tests/UsersFleet/gateway_peers_test.cc
@@ -8,7 +8,7 @@
 #include <optional>
 #include <ostream>
 
-#include "UsersPlatform/fleet_fixture.h"
+#include "UsersFleet/fleet_fixture.h"
 #include "gateway/lease_keeper.h"
 #include "gateway/peer_state.h"
 
--- a/Tests/UsersPlatform/large_configuration_test.cc
+++ b/Tests/UsersFleet/large_configuration_test.cc
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "Soak/loopback_proxy.h"
-#include "UsersPlatform/fleet_fixture.h"
+#include "UsersFleet/fleet_fixture.h"
 
 namespace balsamhall::platform {
 namespace {
