--- a/Source/gateway/config_history.cc
+++ b/Source/gateway/config_history.cc
@@ -19,8 +19,8 @@
 }
 
 const std::string& ConfigHistory::newest() const {
-  static const std::string kEmpty;
-  return texts_.empty() ? kEmpty : texts_.rbegin()->second;
+  static const std::string empty;
+  return texts_.empty() ? empty : texts_.rbegin()->second;
 }
 
 const ConfigPatch* ConfigHistory::PatchFrom(std::uint64_t version) {
