Restart the endpoints of the soak that have said that they leave

All endpoints that own keys had said that they leave, and one of them was registered as ready again at the end of the faults while it still ran. A gateway counts a process that leaves as leaving for as long as it lives.

--- a/Tests/Soak/soak_fleet.cc
+++ b/Tests/Soak/soak_fleet.cc
@@ -238,6 +238,8 @@
   for (Server& server : servers_) {
     server.endpoint->set_fault(stand_in::EndpointFault::kNone);
     server.link->Set(LinkFault::kNone);
+    // A process that has said that it leaves does not come back.
+    if (server.leaving) server.endpoint->Restart();
     server.endpoint->set_leaving(false);
     if (!server.registered || server.leaving) Register(server, "ready");
     server.leaving = false;
