Show stale configurations after an outage of the store

Cause: a read of the configuration that was sent shortly before the store's return is never answered, and is given up only after 3.2 s, although other calls show that the store is back.

The stand-in of the store can be silent, and the proxy of the stand-ins drops bytes whose sender has gone.

--- a/review/stand_in.py
+++ b/review/stand_in.py
@@ -127,6 +127,8 @@
         self.changed = asyncio.Event()  # replaced at each change
         self.members = {}  # of the one group: member, time of its last join
         self.generation = 1
+        self.down = False  # no call is answered, nor any that waits
+        self.never = asyncio.Event()
 
     @property
     def address(self):
@@ -136,11 +138,21 @@
         self.server = await serve(self.host, self.port, self.handle)
 
     async def put(self, topic, key, value):
+        """Appends a record. Endpoints and the operator call it; while the store
+        is down, it appends nothing."""
+        if self.down:
+            return
         self.topics.setdefault(topic, []).append((key, value))
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
 
     async def handle(self, request):
+        answer = None if self.down else await self.call(request)
+        if self.down:  # nothing further comes on this connection
+            await self.never.wait()
+        return answer
+
+    async def call(self, request):
         method, target, _ = request.first.split(" ")
         path, _, query = target.partition("?")
         args = dict(part.split("=", 1) for part in query.split("&") if part)
@@ -352,6 +364,8 @@
             try:
                 while data := await source.read(65536):
                     await self.open.wait()
+                    if source.exception() or source.at_eof():
+                        break
                     if sink is far_writer:
                         target = data.split(b" ", 2)[1:2]
                         topic = target[0].partition(b"topic=")[2] \
