Count every request that an endpoint answered as one that may have run

Cause: Forwarder::OnResponse set may_have_run only for statuses from 500 on. It recognised that a 408 or 429 of a run must not reach the caller, and ended the request with FinishWithoutResponse, which answers 503 unless may_have_run is set. On the same path a 421 counted as a rejection whatever else the response said: with the stamp of a run the request was sent to a second endpoint.

Change: a response that does not state that the request was not executed makes it one that may have run, before anything else is decided. 408, 421 and 429 of a run count as error responses, like 503 did.

Why it works: every later end of the exchange, by a rejection, a deadline, a stop or a last attempt, asks may_have_run before it promises anything.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -65,6 +65,11 @@
 // Maximum number of executed keys that are kept for a connection.
 constexpr std::size_t kMaxExecutedKeys = 512;
 
+constexpr unsigned kRequestTimeout = 408;
+constexpr unsigned kMisdirectedRequest = 421;
+constexpr unsigned kTooManyRequests = 429;
+constexpr unsigned kServiceUnavailable = 503;
+
 SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
 WallTime WallNow() {
@@ -458,8 +463,15 @@
                            "response without the endpoint's mark");
   }
   if (success) RecordExecutedKey(exchange, connection);
-  if (response.status >= 500) {
-    exchange.may_have_run = true;
+  // Only a response that states the opposite proves that the request did not
+  // run.
+  exchange.may_have_run = true;
+  // To the caller these statuses mean that the request did not run.
+  const bool implies_not_executed = response.status == kRequestTimeout ||
+                                    response.status == kMisdirectedRequest ||
+                                    response.status == kTooManyRequests ||
+                                    response.status == kServiceUnavailable;
+  if (response.status >= 500 || implies_not_executed) {
     scheduler.OnFailure(exchange.id, exchange.endpoint.ref,
                         EndpointFailure::kBadResponse, now);
     exchange.history += exchange.endpoint.ref.id + ":status " +
@@ -474,10 +486,6 @@
                          ToMilliseconds(now - exchange.sent_at),
                          response.body.size(), backend_response.load, now);
   }
-  // To the caller these statuses mean that the request did not run, but it did.
-  const bool implies_not_executed = response.status == 408 ||
-                                    response.status == 429 ||
-                                    response.status == 503;
   if (implies_not_executed) {
     return FinishWithoutResponse(exchange,
                                  "status " + std::to_string(response.status));
--- a/Tests/StandIn/users_endpoint.cc
+++ b/Tests/StandIn/users_endpoint.cc
@@ -124,6 +124,9 @@
     case EndpointFault::kFalseBusy:
       response.status = 503;
       return response;
+    case EndpointFault::kFalseStatus:
+      response.status = false_status_;
+      return response;
     default:
       return response;
   }
--- a/Tests/StandIn/users_endpoint.h
+++ b/Tests/StandIn/users_endpoint.h
@@ -29,6 +29,7 @@
   kUnsigned,      // answers 200 without its mark
   kSilent,        // runs and never answers
   kFalseBusy,     // runs, then answers 503 without saying that it did not
+  kFalseStatus,   // the same with the status of set_false_status
   kFalsePromise,  // runs, then says that it did not
 };
 
@@ -54,6 +55,8 @@
   // Whether all its answers say that it is leaving.
   void set_leaving(bool leaving) { leaving_ = leaving; }
   void set_work_time(Milliseconds time) { work_time_ = time; }
+  // The status of the answers of kFalseStatus.
+  void set_false_status(unsigned status) { false_status_ = status; }
   // Runs of each request.
   const std::map<std::string, int>& runs() const { return runs_; }
   int total_runs() const;
@@ -82,6 +85,7 @@
   std::unique_ptr<HttpServer> server_;
   std::string address_;
   EndpointFault fault_ = EndpointFault::kNone;
+  unsigned false_status_ = 500;
   bool leaving_ = false;
   Milliseconds work_time_{5};
   std::map<std::string, int> runs_;
