Bound the age of what a gateway knows, whoever stands still beside it

Cause: a follower waited for one gateway after the other, each for the time-out of a long poll, 1.4 s. Requests to other gateways began 0.7 s after the first time-out, one at a time, in the order of ids. Nothing bounded the sum.

Change: a gateway knows since when its state may be out of date. After 1.4 s, or 0.5 s once its reader has failed, it requests the state of others beside what it waits for: one each 0.15 s, likely readers first, near ones first, without waiting for the answers. At 1.9 s without an answer it reads the store, unless another gateway says that the store is away. A gateway that did not respond stays avoided when another one names it. A reader that the store has not answered for 1.4 s searches too.

Evidence: frozen_gateway_test.cc, configuration and draining endpoint beside the reader, the reader and the next gateway, and all others: 9 failed checks before, none after.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -52,11 +52,11 @@
       forwarder_(loop, settings_, dialect, notices_, metrics_),
       request_memory_(std::make_shared<BodyMemory>(settings_.memory_bytes /
                                                    kRequestsDivisor)),
+      state_confirmed_at_(started_),
       tick_timer_(loop),
       watch_timer_(loop),
       join_timer_(loop),
       report_timer_(loop),
-      peer_request_timer_(loop),
       follow_timer_(loop),
       gateways_timer_(loop),
       register_timer_(loop),
@@ -204,6 +204,7 @@
     }
   }
   RespondToLongPolls(false);
+  WatchState(now);
   if (std::exchange(was_ready_, Ready()) != Ready()) {
     LogInfo("readiness", {{"ready", Ready() ? "true" : "false"}});
   }
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -143,8 +144,17 @@
   HttpClient& CallClientOf(const std::string& address);
   void OnPeerRequest(const HttpRequest& request,
                      const HttpServer::Respond& respond);
-  void RequestPeerState();
-  std::optional<std::string> NextPeer();
+  // Whether this gateway may be missing changes, because what it learns from
+  // has not answered in time.
+  bool StateOverdue(BootTime now) const;
+  // While the state is overdue, requests the state of one gateway after the
+  // other without waiting for the answers, and reads the store itself if there
+  // are none.
+  void WatchState(BootTime now);
+  std::vector<GatewayInstance> PeersToAsk() const;
+  void RequestPeerState(const GatewayInstance& peer);
+  void OnPeerState(const GatewayInstance& peer,
+                   const HttpClient::Outcome& outcome, BootTime as_of);
   void ApplyPeerState(PeerState state, BootTime as_of);
   HttpResponse MakePeerStateResponse(const PeerStateRequest& query,
                                      bool accepts_patch);
@@ -157,8 +167,15 @@
   std::uint64_t LeasesEnd() const;
   std::optional<GatewayInstance> ReaderToFollow() const;
   std::size_t PlaceAmongReaders() const;
-  void OnReaderFailed(const GatewayInstance& reader, bool may_take_over,
-                      const std::string& detail);
+  struct ReaderFailure {
+    bool responded = false;      // but it does not read the store
+    bool may_take_over = false;  // it responded, and does not stop
+    BootTime asked_at;
+    std::string detail;
+  };
+  void OnReaderNamed(const RouterId& reader);
+  void OnReaderFailed(const GatewayInstance& reader,
+                      const ReaderFailure& failure);
   void FollowReader();
   void OnFollowResult(const GatewayInstance& reader,
                       const HttpClient::Outcome& outcome, BootTime as_of);
@@ -205,7 +222,29 @@
   bool reads_store_ = false;
   // The gateway through which this one reads the store; empty if there is none.
   RouterId reader_;
-  std::map<RouterId, BootTime> avoided_readers_;  // until when
+  struct AvoidedReader {
+    BootTime until;
+    bool responded = false;  // it answered, but did not read the store
+  };
+  std::map<RouterId, AvoidedReader> avoided_readers_;
+  // The request to the reader that is in progress.
+  std::string follow_address_;
+  std::uint64_t follow_exchange_ = 0;
+  // When this gateway's state was last known to be the newest.
+  BootTime state_confirmed_at_;
+  BootTime store_response_at_;  // the last one from the store
+  // The search for another source while the state is overdue.
+  struct PeerSearch {
+    std::size_t requests = 0;
+    BootTime next_request;
+    // A gateway that reads the store answered that it cannot reach it.
+    bool store_away = false;
+  };
+  PeerSearch peer_search_;
+  std::set<RouterId> asked_peers_;  // that have not answered yet
+  // The gateway that answered such a request last, and when it was asked.
+  RouterId last_source_;
+  BootTime last_source_asked_at_;
   // Since when no reader has delivered its state; empty while one does.
   std::optional<BootTime> without_reader_since_;
   // The gateway that is expected to take over, and since when.
@@ -219,8 +258,6 @@
     BootTime deadline;
   };
   std::vector<LongPoll> long_polls_;
-  RouterId last_peer_;
-  bool peer_request_pending_ = false;
   RejectedRecords rejected_records_;
 
   std::unique_ptr<HttpServer> front_server_;
@@ -238,7 +275,6 @@
   boost::asio::steady_timer watch_timer_;
   boost::asio::steady_timer join_timer_;
   boost::asio::steady_timer report_timer_;
-  boost::asio::steady_timer peer_request_timer_;
   boost::asio::steady_timer follow_timer_;
   boost::asio::steady_timer gateways_timer_;
   boost::asio::steady_timer register_timer_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <charconv>
 #include <ranges>
+#include <tuple>
 #include <utility>
 
 #include "gateway/gateway_impl.h"
@@ -8,14 +9,26 @@
 namespace balsamhall::gateway {
 namespace {
 
-// Interval at which a gateway that cannot reach the store requests the state of
-// other gateways, because configurations and drains still apply to it.
+// Interval at which a gateway whose state is overdue requests the state of
+// other gateways, because configurations and drains still apply to it: for the
+// first requests, which go to the likely readers, and for the later ones.
+constexpr Milliseconds kFirstPeerRequestInterval{150};
+constexpr std::size_t kFirstPeerRequests = 8;
 constexpr Milliseconds kPeerRequestInterval{400};
 // Calls to the store are charged, traffic within a data centre is not.
 // Therefore one gateway in each data centre, the reader, reads the store. The
 // others get its state by long polling: it delays its response for up to this
 // time until it has something new.
 constexpr Milliseconds kLongPollTime{1'000};
+// Time within which the reader responds. Also the longest time between two
+// responses of the store to a gateway that reads it.
+constexpr Milliseconds kReaderTimeout = kLongPollTime + kPeerTimeout;
+// Maximum age of the state while no reader is followed.
+constexpr Milliseconds kMaxStateAgeWithoutReader{500};
+// Age of the state at which a gateway to which no other one responds reads the
+// store itself. An accepted configuration has to be in force, and a draining
+// endpoint without new requests, after 2.5 s (the users' limits).
+constexpr Milliseconds kDirectReadAge{1'900};
 // Pause between two such requests, and before the next search for a reader.
 constexpr Milliseconds kFollowPause{80};
 constexpr Milliseconds kNoReaderPause{1'000};
@@ -84,46 +97,108 @@
   return *client;
 }
 
-std::optional<std::string> Gateway::Impl::NextPeer() {
-  if (gateways_.empty()) return std::nullopt;
-  // A different one for each request: the last may not reach the store either.
-  auto next = gateways_.upper_bound(last_peer_);
-  if (next == gateways_.end()) next = gateways_.begin();
-  if (next->first == self_.id && ++next == gateways_.end()) {
-    next = gateways_.begin();
-  }
-  if (next->first == self_.id) return std::nullopt;
-  last_peer_ = next->first;
-  return next->second.address;
+bool Gateway::Impl::StateOverdue(BootTime now) const {
+  if (reads_store_) {
+    return store_failures_ > 0 || now - store_response_at_ > kReaderTimeout;
+  }
+  const auto client = peer_clients_.find(follow_address_);
+  if (client != peer_clients_.end() &&
+      client->second->IsReceiving(follow_exchange_)) {
+    return false;
+  }
+  return now - state_confirmed_at_ >
+         (without_reader_since_ ? kMaxStateAgeWithoutReader : kReaderTimeout);
 }
 
-// Requests the state of one gateway after the other until the store responds
-// again.
-void Gateway::Impl::RequestPeerState() {
-  if (peer_request_pending_ || stopping_) return;
-  const auto address = NextPeer();
-  if (!address) return;
-  peer_request_pending_ = true;
+// The gateways that are likely to read the store come first, of these the
+// nearest ones. The one that answered last comes before all others.
+std::vector<GatewayInstance> Gateway::Impl::PeersToAsk() const {
+  struct Candidate {
+    bool answered_last;
+    std::size_t place;  // among the gateways of its data centre
+    Distance distance;
+    GatewayInstance gateway;
+  };
+  std::map<std::string, std::vector<GatewayInstance>> by_data_centre;
+  for (const GatewayInstance& gateway : gateways_ | std::views::values) {
+    if (gateway.id == self_.id) continue;
+    by_data_centre[gateway.data_centre].push_back(gateway);
+  }
+  std::vector<Candidate> candidates;
+  for (auto& [data_centre, gateways] : by_data_centre) {
+    std::ranges::sort(gateways, ReadsBefore);
+    const Distance distance = settings_.DistanceTo(data_centre);
+    for (std::size_t place = 0; place < gateways.size(); ++place) {
+      candidates.push_back({gateways[place].id == last_source_, place, distance,
+                            gateways[place]});
+    }
+  }
+  std::ranges::stable_sort(candidates, {}, [](const Candidate& candidate) {
+    return std::tuple(!candidate.answered_last, candidate.place,
+                      candidate.distance);
+  });
+  std::vector<GatewayInstance> peers;
+  std::ranges::transform(candidates, std::back_inserter(peers),
+                         &Candidate::gateway);
+  return peers;
+}
+
+void Gateway::Impl::WatchState(BootTime now) {
+  if (stopping_ || !StateOverdue(now)) {
+    peer_search_ = {};
+    return;
+  }
+  const auto peers = PeersToAsk();
+  if (!peers.empty() && now >= peer_search_.next_request) {
+    const auto& peer = peers[peer_search_.requests++ % peers.size()];
+    peer_search_.next_request =
+        now + (peer_search_.requests < kFirstPeerRequests
+                   ? kFirstPeerRequestInterval
+                   : kPeerRequestInterval);
+    RequestPeerState(peer);
+  }
+  // If the store is away, reading it does not help.
+  if (!reads_store_ && gateways_known_ && !peer_search_.store_away &&
+      now - state_confirmed_at_ >= kDirectReadAge) {
+    ReadDirectly("no gateway responds");
+  }
+}
+
+void Gateway::Impl::RequestPeerState(const GatewayInstance& peer) {
+  if (!asked_peers_.insert(peer.id).second) return;
+  HttpClient& client = ClientOf(peer_clients_, peer.address);
   const BootTime as_of = BootClock::now();
-  ClientOf(peer_clients_, *address)
-      .Send(MakePeerStateRequest(false), kPeerTimeout,
-            [this, as_of](const HttpClient::Outcome& outcome) {
-              if (outcome.response && outcome.response->status == 200) {
-                auto state = ParsePeerState(outcome.response->body);
-                if (state) {
-                  ApplyPeerState(std::move(state.value()), as_of);
-                } else {
-                  LogEvent(
-                      EventLevel::kError, "peer_state_rejected",
-                      static_cast<unsigned>(state.error().code),
-                      {{"peer", last_peer_}, {"detail", state.error().detail}});
-                }
-              }
-              RunAfter(peer_request_timer_, kPeerRequestInterval, [this] {
-                peer_request_pending_ = false;
-                if (store_failures_ > 0) RequestPeerState();
-              });
-            });
+  const auto done = [this, peer, as_of](const HttpClient::Outcome& outcome) {
+    asked_peers_.erase(peer.id);
+    OnPeerState(peer, outcome, as_of);
+  };
+  // The reader may be well, and only the connections to it silent.
+  if (peer.address == follow_address_) {
+    client.SendOnNew(MakePeerStateRequest(false), kPeerTimeout, done);
+  } else {
+    client.Send(MakePeerStateRequest(false), kPeerTimeout, done);
+  }
+}
+
+void Gateway::Impl::OnPeerState(const GatewayInstance& peer,
+                                const HttpClient::Outcome& outcome,
+                                BootTime as_of) {
+  if (!outcome.response || outcome.response->status != 200) return;
+  auto state = ParsePeerState(outcome.response->body);
+  if (!state) {
+    return LogEvent(EventLevel::kError, "peer_state_rejected",
+                    static_cast<unsigned>(state.error().code),
+                    {{"peer", peer.id}, {"detail", state.error().detail}});
+  }
+  if (!state.value().store_reachable) {
+    if (state.value().reader.empty()) peer_search_.store_away = true;
+    return;
+  }
+  last_source_ = peer.id;
+  last_source_asked_at_ = as_of;
+  avoided_readers_.erase(peer.id);
+  state_confirmed_at_ = std::max(state_confirmed_at_, as_of);
+  ApplyPeerState(std::move(state.value()), as_of);
 }
 
 void Gateway::Impl::ApplyPeerState(PeerState state, BootTime as_of) {
@@ -194,7 +269,7 @@
     const auto avoided = avoided_readers_.find(gateway.id);
     const bool usable =
         gateway.data_centre == self_.data_centre &&
-        (avoided == avoided_readers_.end() || avoided->second <= now);
+        (avoided == avoided_readers_.end() || avoided->second.until <= now);
     if (usable && ReadsBefore(gateway, *best)) best = &gateway;
   }
   if (best->id == self_.id) return std::nullopt;
@@ -208,12 +283,13 @@
     return RunAfter(follow_timer_, kNoReaderPause, [this] { FollowReader(); });
   }
   const BootTime as_of = BootClock::now();
-  ClientOf(peer_clients_, reader->address)
-      .Send(
-          MakePeerStateRequest(true), kLongPollTime + kPeerTimeout,
-          [this, reader = *reader, as_of](const HttpClient::Outcome& outcome) {
-            OnFollowResult(reader, outcome, as_of);
-          });
+  follow_address_ = reader->address;
+  follow_exchange_ = ClientOf(peer_clients_, reader->address)
+                         .Send(MakePeerStateRequest(true), kReaderTimeout,
+                               [this, reader = *reader,
+                                as_of](const HttpClient::Outcome& outcome) {
+                                 OnFollowResult(reader, outcome, as_of);
+                               });
 }
 
 // Returns how many gateways of the data centre take over reading before this
@@ -226,11 +302,8 @@
       }));
 }
 
-// may_take_over: the gateway responded, does not stop, but does not read the
-// store yet.
 void Gateway::Impl::OnReaderFailed(const GatewayInstance& reader,
-                                   bool may_take_over,
-                                   const std::string& detail) {
+                                   const ReaderFailure& failure) {
   const BootTime now = BootClock::now();
   if (std::exchange(next_reader_, reader.id) != reader.id) {
     next_reader_since_ = now;
@@ -243,21 +316,34 @@
   // The gateway that was followed until now does not take over, and nobody does
   // while that one is well.
   const auto left = avoided_readers_.find(reader_);
-  const bool reader_lost =
-      reader_.empty() || (left != avoided_readers_.end() && left->second > now);
-  const bool waits_for_it = may_take_over && reader_lost &&
+  const bool reader_lost = reader_.empty() || (left != avoided_readers_.end() &&
+                                               left->second.until > now);
+  const bool waits_for_it = failure.may_take_over && reader_lost &&
                             reader.id != reader_ &&
                             now - next_reader_since_ < kTakeoverTime;
-  if (!starting && !waits_for_it) {
-    avoided_readers_[reader.id] = now + kAvoidReaderTime;
+  // It responded on another connection meanwhile.
+  const bool is_well =
+      last_source_ == reader.id && last_source_asked_at_ >= failure.asked_at;
+  if (!starting && !waits_for_it && !is_well) {
+    avoided_readers_[reader.id] = {now + kAvoidReaderTime, failure.responded};
   }
   if (!reads_store_ && without >= kReaderLostTime) {
-    OnStoreResult(false, detail);
+    OnStoreResult(false, failure.detail);
   }
   const Milliseconds patience = std::min<Milliseconds>(
       kTakeoverTime + kDirectReadStagger * PlaceAmongReaders(),
       kMaxWithoutReader);
-  if (without >= patience) ReadDirectly(detail);
+  if (without >= patience) ReadDirectly(failure.detail);
+}
+
+// Another gateway follows this one, which may have taken over since it was
+// avoided. One that did not respond stays avoided: the other gateway may not
+// have noticed yet.
+void Gateway::Impl::OnReaderNamed(const RouterId& reader) {
+  const auto avoided = avoided_readers_.find(reader);
+  if (avoided != avoided_readers_.end() && avoided->second.responded) {
+    avoided_readers_.erase(avoided);
+  }
 }
 
 void Gateway::Impl::OnFollowResult(const GatewayInstance& reader,
@@ -268,15 +354,16 @@
                    : Result<PeerState>(Error{ResultCode::kPeerUnreachable,
                                              outcome.error.detail});
   if (!state || !state.value().store_reachable) {
-    // It was avoided when it had not taken over yet.
-    if (state) avoided_readers_.erase(state.value().reader);
+    if (state) OnReaderNamed(state.value().reader);
     OnReaderFailed(
-        reader, state && !state.value().stopping,
-        state ? "reader does not read the store" : state.error().detail);
+        reader,
+        {state.has_value(), state && !state.value().stopping, as_of,
+         state ? "reader does not read the store" : state.error().detail});
     return RunAfter(follow_timer_, kFollowPause, [this] { FollowReader(); });
   }
   without_reader_since_.reset();
   next_reader_.clear();
+  state_confirmed_at_ = BootClock::now();
   OnStoreResult(true, "");
   ApplyPeerState(std::move(state.value()), as_of);
   if (!elected_ && std::exchange(reader_, reader.id) != reader.id) {
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -98,6 +98,7 @@
   const auto steady = std::chrono::steady_clock::now();
   if (success) {
     store_failures_ = 0;
+    store_response_at_ = now;
     if (!std::exchange(store_lost_, false)) return;
     registry_.OnStoreRegained(steady);
     LogInfo("store_regained", {});
@@ -105,7 +106,7 @@
   } else {
     metrics_.Add("store_failures_total", "", 1);
     ++store_failures_;
-    RequestPeerState();
+    WatchState(now);
     if (store_failures_ < kStoreLostFailures || store_lost_) return;
     store_lost_ = true;
     // Gateways that follow this one have to find another reader.
--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -232,6 +232,10 @@
   bool Usable();
   void Close();
   std::uint64_t number() const { return number_; }
+  // Returns whether bytes of the answer have arrived.
+  bool IsReceiving() const {
+    return stage_ == Stage::kReading && parser_->got_some();
+  }
 
  private:
   enum class Stage { kConnecting, kWriting, kReading, kDone };
@@ -723,6 +727,13 @@
   });
 }
 
+bool HttpClient::IsReceiving(std::uint64_t exchange) const {
+  const auto found = impl_->exchanges_.find(exchange);
+  if (found == impl_->exchanges_.end()) return false;
+  const auto connection = found->second.lock();
+  return connection && connection->IsReceiving();
+}
+
 void HttpClient::Cancel(std::uint64_t exchange) { impl_->Cancel(exchange); }
 
 void HttpClient::CloseExpired() { impl_->CloseExpired(); }
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -122,6 +122,10 @@
   // not run. No effect on ended exchanges.
   void Cancel(std::uint64_t exchange);
 
+  // Returns whether bytes of the exchange's answer have arrived. False for
+  // ended exchanges.
+  bool IsReceiving(std::uint64_t exchange) const;
+
   // Closes idle connections that may no longer be reused.
   void CloseExpired();
 
--- a/Tests/UsersFleet/fleet_fixture.h
+++ b/Tests/UsersFleet/fleet_fixture.h
@@ -14,10 +14,14 @@
 struct FleetFixture : GatewayFixture {
   // A gateway beside the one under test.
   struct Other {
+    // store_address: empty for that of the fixture.
     Other(FleetFixture& fixture, const std::string& id,
-          const std::string& data_centre = "a", unsigned link_mbps = 0)
+          const std::string& data_centre = "a", unsigned link_mbps = 0,
+          const std::string& store_address = "")
         : settings(SettingsIn(fixture, id, data_centre, link_mbps)),
-          store(fixture.loop, fixture.store_address, Milliseconds(1'000)),
+          store(fixture.loop,
+                store_address.empty() ? fixture.store_address : store_address,
+                Milliseconds(1'000)),
           process(fixture.loop, settings, store, fixture.dialect,
                   {kConfigKey, OperatorConfigParser(), ParseRegistryEntry}),
           peer(fixture.loop, settings.peer_address, HttpClientOptions{}) {}
--- /dev/null
+++ b/Tests/UsersFleet/frozen_gateway_test.cc
@@ -0,0 +1,190 @@
+// A gateway in touch with the store while others of its data centre stand
+// still, or cannot reach the store themselves.
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <memory>
+#include <optional>
+#include <ostream>
+#include <string>
+
+#include "Soak/loopback_proxy.h"
+#include "StandIn/http_reply.h"
+#include "UsersFleet/fleet_fixture.h"
+#include "UsersFleet/peer_stand_in.h"
+
+namespace balsamhall::platform {
+namespace {
+
+namespace data = boost::unit_test::data;
+
+constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
+constexpr const char* kConfigTopic = "keyed.op";
+constexpr const char* kRegistryTopic = "keyed.servers";
+// Later than the start of any process of a test.
+constexpr std::uint64_t kLaterProcess = 1ULL << 50U;
+// The users' limits: an accepted configuration is in force, and a draining
+// endpoint gets no new request, after this time.
+constexpr Milliseconds kBound{2'500};
+
+enum class Change { kConfiguration, kDraining };
+
+std::ostream& operator<<(std::ostream& out, Change change) {
+  return out << (change == Change::kConfiguration ? "configuration"
+                                                  : "draining");
+}
+
+struct FrozenCase {
+  const char* name;
+  bool next_frozen;  // the next gateway of the data centre stands still too
+  // If it does not: when it notices that its reader stands still.
+  Milliseconds takes_over_after{0};
+  bool other_data_centre_frozen;
+  bool reads_itself;  // whether the gateway has to read the store
+};
+
+std::ostream& operator<<(std::ostream& out, const FrozenCase& c) {
+  return out << c.name;
+}
+
+const FrozenCase kFrozen[] = {
+    {"the reader", false, Milliseconds(1'300), false, false},
+    {"the reader, noticed late by the next gateway", false, Milliseconds(1'650),
+     false, false},
+    {"the reader and the other data centre, noticed late", false,
+     Milliseconds(1'650), true, false},
+    {"the reader and the next gateway", true, Milliseconds(0), false, false},
+    {"all others", true, Milliseconds(0), true, true},
+};
+
+struct FrozenFixture : FleetFixture {
+  FrozenFixture() {
+    Register("gateway-2", reader.Listen(), "b");
+    Register("gateway-3", next.Listen(), "b");
+    Register("gateway-1", elsewhere.Listen(), "a");
+    next.set_followed("gateway-2");
+    next.set_mode(PeerMode::kFollows);
+    observed.emplace(*this, "gateway-4", "b");
+    BOOST_REQUIRE(observed->process.Start());
+    front.emplace(loop, observed->settings.front_address, HttpClientOptions{});
+    BOOST_REQUIRE(
+        RunUntil([this] { return StateOf(*observed).reader == "gateway-2"; }));
+    BOOST_REQUIRE(RunUntil([this] { return Status("/read/x") == 200U; }));
+  }
+
+  void Register(const std::string& id, const std::string& address,
+                const std::string& data_centre) {
+    store.Put(kGatewaysTopic, id,
+              gateway::SerializeGatewayInstance(
+                  {id, kLaterProcess, address, data_centre}));
+  }
+
+  unsigned Status(const std::string& target) {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      front->Send(Request(target, "r" + std::to_string(++last)),
+                  Milliseconds(1'000), done);
+    });
+    return outcome.response ? outcome.response->status : 0;
+  }
+
+  void Make(Change change) {
+    if (change == Change::kDraining) {
+      return store.Put(kRegistryTopic, plain1.id(),
+                       plain1.Entry("plain", "draining"));
+    }
+    json config = Config("0000000a");
+    config["routes"]["new"] = Route("/new/", "safe", "plain");
+    store.Put(kConfigTopic, "config", config.dump());
+  }
+
+  bool Applied(Change change) {
+    if (change == Change::kConfiguration) return Status("/new/x") == 200U;
+    const int before = plain1.total_runs();
+    for (int i = 0; i < 6; ++i) {
+      if (Status("/read/x") != 200U) return false;
+    }
+    return plain1.total_runs() == before;
+  }
+
+  PeerStandIn reader{loop, peer_address};
+  PeerStandIn next{loop, peer_address};
+  PeerStandIn elsewhere{loop, peer_address};
+  std::optional<Other> observed;
+  std::optional<HttpClient> front;
+  int last = 0;
+};
+
+// Guards against a gateway that waits for one gateway after the other, each
+// within its time-out, until a change is long overdue.
+BOOST_DATA_TEST_CASE_F(FrozenFixture,
+                       a_change_arrives_beside_gateways_that_stand_still,
+                       data::make(kFrozen) * data::make({Change::kConfiguration,
+                                                         Change::kDraining}),
+                       frozen, change) {
+  // The answer to the next request is the first that never comes.
+  const int polls = reader.long_polls();
+  BOOST_REQUIRE(RunUntil([&] { return reader.long_polls() > polls; }));
+  reader.set_mode(PeerMode::kFrozen);
+  if (frozen.next_frozen) {
+    next.set_mode(PeerMode::kFrozen);
+  } else {
+    stand_in::RunAfter(loop, frozen.takes_over_after,
+                       [this] { next.set_mode(PeerMode::kReads); });
+  }
+  if (frozen.other_data_centre_frozen) {
+    elsewhere.set_mode(PeerMode::kFrozen);
+  }
+  const std::size_t before = store.deliveries(kConfigTopic);
+  Make(change);
+  RunFor(loop, kBound);
+  BOOST_TEST(Applied(change));
+  if (change == Change::kConfiguration) {
+    // One of them is to the gateway behind the stand-ins.
+    BOOST_TEST(store.deliveries(kConfigTopic) - before ==
+               (frozen.reads_itself ? 2U : 1U));
+  }
+}
+
+// Guards against followers of a gateway that still answers them but hears
+// nothing from the store.
+BOOST_DATA_TEST_CASE_F(FleetFixture,
+                       a_change_arrives_beside_a_reader_without_the_store,
+                       data::make({Change::kConfiguration, Change::kDraining}),
+                       change) {
+  soak::LoopbackProxy link(loop, store_address);
+  Other reader(*this, "gateway-2", "b", 0, link.address());
+  BOOST_REQUIRE(reader.process.Start());
+  BOOST_REQUIRE(RunUntil([&] { return StateOf(reader).store_reachable; }));
+  Other follower(*this, "gateway-3", "b");
+  BOOST_REQUIRE(follower.process.Start());
+  BOOST_REQUIRE(
+      RunUntil([&] { return StateOf(follower).reader == "gateway-2"; }));
+  HttpClient caller(loop, follower.settings.front_address, HttpClientOptions{});
+  const auto status = [&](const std::string& target) {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      caller.Send(Request(target, "r"), Milliseconds(1'000), done);
+    });
+    return outcome.response ? outcome.response->status : 0;
+  };
+  BOOST_REQUIRE(RunUntil([&] { return status("/read/x") == 200U; }));
+  link.Set(soak::LinkFault::kSilent);
+  if (change == Change::kDraining) {
+    store.Put(kRegistryTopic, plain1.id(), plain1.Entry("plain", "draining"));
+  } else {
+    json config = Config("0000000a");
+    config["routes"]["new"] = Route("/new/", "safe", "plain");
+    store.Put(kConfigTopic, "config", config.dump());
+  }
+  RunFor(loop, kBound);
+  if (change == Change::kConfiguration) {
+    BOOST_TEST(status("/new/x") == 200U);
+    return;
+  }
+  const int before = plain1.total_runs();
+  for (int i = 0; i < 6; ++i) BOOST_TEST(status("/read/x") == 200U);
+  BOOST_TEST(plain1.total_runs() == before);
+}
+
+}  // namespace
+}  // namespace balsamhall::platform
--- /dev/null
+++ b/Tests/UsersFleet/peer_stand_in.h
@@ -0,0 +1,68 @@
+// Stand-in of a gateway as others of its data centre see it.
+#ifndef BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
+#define BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+#include <utility>
+
+#include "gateway/peer_state.h"
+#include "net/http_client.h"
+#include "net/http_server.h"
+
+namespace balsamhall::platform {
+
+enum class PeerMode {
+  kReads,    // answers as the gateway behind it, which reads the store
+  kFollows,  // answers that it follows another one
+  kFrozen,   // accepts connections and answers nothing
+};
+
+// Runs on one loop, which must outlive it.
+class PeerStandIn {
+ public:
+  // reader: the peer address of a gateway that reads the store.
+  PeerStandIn(boost::asio::io_context& loop, const std::string& reader)
+      : reader_(loop, reader, HttpClientOptions{}),
+        server_(loop, HttpServerOptions{},
+                [this](HttpRequest request, HttpServer::Respond respond) {
+                  OnRequest(std::move(request), std::move(respond));
+                }) {}
+
+  std::string Listen() {
+    return "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
+  }
+  void set_mode(PeerMode mode) { mode_ = mode; }
+  // The gateway that it follows.
+  void set_followed(RouterId id) { followed_ = std::move(id); }
+  // Long polls that have arrived.
+  int long_polls() const { return long_polls_; }
+
+ private:
+  void OnRequest(HttpRequest request, HttpServer::Respond respond) {
+    if (request.target.starts_with("/follow/")) ++long_polls_;
+    if (mode_ == PeerMode::kFrozen) return;
+    if (mode_ == PeerMode::kFollows) {
+      gateway::PeerState state;
+      state.reader = followed_;
+      return respond({200, {}, gateway::SerializePeerState(state)});
+    }
+    reader_.Send(std::move(request), Milliseconds(2'000),
+                 [this, respond = std::move(respond)](
+                     const HttpClient::Outcome& outcome) {
+                   if (mode_ == PeerMode::kReads && outcome.response) {
+                     respond(*outcome.response);
+                   }
+                 });
+  }
+
+  HttpClient reader_;
+  HttpServer server_;
+  PeerMode mode_ = PeerMode::kReads;
+  RouterId followed_;
+  int long_polls_ = 0;
+};
+
+}  // namespace balsamhall::platform
+
+#endif  // BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
