Ignore failures of calls that the store has answered since

Cause: calls that were sent during the outage time out after the store's return. Two such failures in a row count as a loss, although a later call has succeeded.

Change: a failed call counts only if the store has not responded since it was sent.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -88,8 +88,9 @@
   void RunAfter(boost::asio::steady_timer& timer, Milliseconds delay,
                 std::function<void()> action);
 
-  // Records whether a call to the store succeeded.
-  void OnStoreResult(bool success, const std::string& detail);
+  // Records whether a call to the store, or to the gateway through which this
+  // one reads it, succeeded.
+  void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
   void OnConfigPage(const LogPage& page);
   struct ParsedConfig {
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -127,9 +127,10 @@
   // A gateway that does not read the store itself cannot be the leader.
   if (!UsesLeases() || stopping_ || !reads_store_) return;
   store_.JoinLeaderElection(
-      settings_.id, kJoinTimeToLive, [this](ElectionResult result) {
+      settings_.id, kJoinTimeToLive,
+      [this, sent_at = BootClock::now()](ElectionResult result) {
         if (stopping_) return;
-        OnStoreResult(result.reached, "join");
+        OnStoreResult(result.reached, "join", sent_at);
         if (!result.reached ||
             std::exchange(elected_, result.elected) == result.elected) {
           return;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -328,7 +328,7 @@
     avoided_readers_[reader.id] = {now + kAvoidReaderTime, failure.responded};
   }
   if (!reads_store_ && without >= kReaderLostTime) {
-    OnStoreResult(false, failure.detail);
+    OnStoreResult(false, failure.detail, now);
   }
   const Milliseconds patience = std::min<Milliseconds>(
       kTakeoverTime + kDirectReadStagger * PlaceAmongReaders(),
@@ -364,7 +364,7 @@
   without_reader_since_.reset();
   next_reader_.clear();
   state_confirmed_at_ = BootClock::now();
-  OnStoreResult(true, "");
+  OnStoreResult(true, "", as_of);
   ApplyPeerState(std::move(state.value()), as_of);
   if (!elected_ && std::exchange(reader_, reader.id) != reader.id) {
     // Those that follow this gateway learn its reader.
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -55,15 +55,15 @@
         [this, log = options.log, handler = std::move(handler)](
             const LogPage& page, BootTime as_of) {
           log_failures_[log] = 0;
-          OnStoreResult(true, "");
+          OnStoreResult(true, "", as_of);
           handler(page, as_of);
         },
-        [this, log = options.log](const std::string& detail) {
+        [this, log = options.log](const std::string& detail, BootTime as_of) {
           // Successes at other logs do not help those that follow this gateway.
           if (++log_failures_[log] == kStoreLostFailures) {
             RespondToLongPolls(true);
           }
-          OnStoreResult(false, detail);
+          OnStoreResult(false, detail, as_of);
         });
   };
   config_follower_ =
@@ -93,7 +93,8 @@
            [this] { gateways_follower_->ReadNow(); });
 }
 
-void Gateway::Impl::OnStoreResult(bool success, const std::string& detail) {
+void Gateway::Impl::OnStoreResult(bool success, const std::string& detail,
+                                  BootTime sent_at) {
   const BootTime now = BootClock::now();
   const auto steady = std::chrono::steady_clock::now();
   if (success) {
@@ -105,6 +106,8 @@
     ReadAllLogsNow();
   } else {
     metrics_.Add("store_failures_total", "", 1);
+    // The store has responded to a later call.
+    if (sent_at < store_response_at_) return;
     ++store_failures_;
     WatchState(now);
     if (store_failures_ < kStoreLostFailures || store_lost_) return;
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -86,7 +86,7 @@
         next_.reset();
         return Schedule(Milliseconds(0));
       }
-      on_failure_(result.detail);
+      on_failure_(result.detail, as_of);
       retry_pause_ =
           std::clamp(retry_pause_ * 2, kMinRetryPause, kMaxRetryPause);
       return Schedule(retry_pause_);
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -28,7 +28,8 @@
   };
   // as_of: when the read was sent.
   using PageHandler = std::function<void(const LogPage&, BootTime as_of)>;
-  using FailureHandler = std::function<void(const std::string& detail)>;
+  using FailureHandler =
+      std::function<void(const std::string& detail, BootTime as_of)>;
 
   // The store must outlive the follower.
   StoreFollower(boost::asio::io_context& loop, CoordinationStore& store,
--- a/Tests/UsersFleet/frozen_gateway_test.cc
+++ b/Tests/UsersFleet/frozen_gateway_test.cc
@@ -186,5 +186,26 @@
   BOOST_TEST(plain1.total_runs() == before);
 }
 
+// Guards against a gateway that counts the store as lost again after its
+// return, and is left by its followers, because calls from before the return
+// time out.
+BOOST_FIXTURE_TEST_CASE(a_regained_store_is_not_lost_by_earlier_calls,
+                        FleetFixture) {
+  Other reader(*this, "gateway-2", "b");
+  BOOST_REQUIRE(reader.process.Start());
+  const auto reads = [&] { return StateOf(reader).store_reachable; };
+  // So that the outage ends at different times of the reads under way.
+  for (const Milliseconds more : {Milliseconds(600), Milliseconds(1'100),
+                                  Milliseconds(1'600), Milliseconds(2'100)}) {
+    BOOST_REQUIRE(RunUntil(reads));
+    store.set_fault(StoreFault::kSilent);
+    BOOST_REQUIRE(RunUntil([&] { return !reads(); }));
+    RunFor(loop, more);
+    store.set_fault(StoreFault::kNone);
+    BOOST_REQUIRE(RunUntil(reads));
+    BOOST_TEST(!RunUntil([&] { return !reads(); }, kBound));
+  }
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
