--- a/Tests/Soak/soak_config_check.cc
+++ b/Tests/Soak/soak_config_check.cc
@@ -12,7 +12,7 @@
 using nlohmann::json;
 
 // The users' bound until an accepted configuration is in force.
-constexpr Milliseconds kApply{4'000};
+constexpr Milliseconds kApply{2'500};
 constexpr Milliseconds kProbeInterval{150};
 constexpr Milliseconds kLagTick{10};
 // Shorter delays of this loop are usual.
