Search for a source of the state only when a request is due

A gateway of a large fleet no longer sorts the others at each tick while its state is overdue. The statuses that promise "not run" have a function that says so.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -70,6 +70,13 @@
 constexpr unsigned kTooManyRequests = 429;
 constexpr unsigned kServiceUnavailable = 503;
 
+// Returns whether a caller takes the status as a promise that its request did
+// not run and never will.
+bool PromisesNotExecuted(unsigned status) {
+  return status == kRequestTimeout || status == kMisdirectedRequest ||
+         status == kTooManyRequests || status == kServiceUnavailable;
+}
+
 SteadyTime Now() { return std::chrono::steady_clock::now(); }
 
 WallTime WallNow() {
@@ -466,12 +473,8 @@
   // Only a response that states the opposite proves that the request did not
   // run.
   exchange.may_have_run = true;
-  // To the caller these statuses mean that the request did not run.
-  const bool implies_not_executed = response.status == kRequestTimeout ||
-                                    response.status == kMisdirectedRequest ||
-                                    response.status == kTooManyRequests ||
-                                    response.status == kServiceUnavailable;
-  if (response.status >= 500 || implies_not_executed) {
+  const bool false_promise = PromisesNotExecuted(response.status);
+  if (response.status >= 500 || false_promise) {
     scheduler.OnFailure(exchange.id, exchange.endpoint.ref,
                         EndpointFailure::kBadResponse, now);
     exchange.history += exchange.endpoint.ref.id + ":status " +
@@ -486,7 +489,7 @@
                          ToMilliseconds(now - exchange.sent_at),
                          response.body.size(), backend_response.load, now);
   }
-  if (implies_not_executed) {
+  if (false_promise) {
     return FinishWithoutResponse(exchange,
                                  "status " + std::to_string(response.status));
   }
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -89,7 +89,8 @@
                 std::function<void()> action);
 
   // Records whether a call to the store, or to the gateway through which this
-  // one reads it, succeeded.
+  // one reads it, succeeded. A failure counts only if there was no response
+  // after sent_at.
   void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
   void OnConfigPage(const LogPage& page);
@@ -153,6 +154,7 @@
   // are none.
   void WatchState(BootTime now);
   std::vector<GatewayInstance> PeersToAsk() const;
+  void RequestNextPeerState(BootTime now);
   void RequestPeerState(const GatewayInstance& peer);
   void OnPeerState(const GatewayInstance& peer,
                    const HttpClient::Outcome& outcome, BootTime as_of);
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -148,15 +148,7 @@
     peer_search_ = {};
     return;
   }
-  const auto peers = PeersToAsk();
-  if (!peers.empty() && now >= peer_search_.next_request) {
-    const auto& peer = peers[peer_search_.requests++ % peers.size()];
-    peer_search_.next_request =
-        now + (peer_search_.requests < kFirstPeerRequests
-                   ? kFirstPeerRequestInterval
-                   : kPeerRequestInterval);
-    RequestPeerState(peer);
-  }
+  if (now >= peer_search_.next_request) RequestNextPeerState(now);
   // If the store is away, reading it does not help.
   if (!reads_store_ && gateways_known_ && !peer_search_.store_away &&
       now - state_confirmed_at_ >= kDirectReadAge) {
@@ -164,6 +156,16 @@
   }
 }
 
+void Gateway::Impl::RequestNextPeerState(BootTime now) {
+  const auto peers = PeersToAsk();
+  if (peers.empty()) return;
+  RequestPeerState(peers[peer_search_.requests % peers.size()]);
+  ++peer_search_.requests;
+  peer_search_.next_request = now + (peer_search_.requests < kFirstPeerRequests
+                                         ? kFirstPeerRequestInterval
+                                         : kPeerRequestInterval);
+}
+
 void Gateway::Impl::RequestPeerState(const GatewayInstance& peer) {
   if (!asked_peers_.insert(peer.id).second) return;
   HttpClient& client = ClientOf(peer_clients_, peer.address);
