Show a change that is late beside a gateway that alone lost the store

Symptom: a gateway in touch, whose data centre's other gateways stand still, lacks a configuration, and sends to a draining endpoint, after 2.5 s.

Cause: an answer that the store is away keeps it from reading the store, also if only the gateway that answered has lost it.

--- a/Tests/UsersFleet/frozen_gateway_test.cc
+++ b/Tests/UsersFleet/frozen_gateway_test.cc
@@ -146,6 +146,21 @@
   }
 }
 
+// Guards against a gateway that takes the word of one that has lost the store
+// for a store that is away, although all others stand still.
+BOOST_DATA_TEST_CASE_F(
+    FrozenFixture, a_change_arrives_beside_a_gateway_that_alone_lost_the_store,
+    data::make({Change::kConfiguration, Change::kDraining}), change) {
+  const int polls = reader.long_polls();
+  BOOST_REQUIRE(RunUntil([&] { return reader.long_polls() > polls; }));
+  reader.set_mode(PeerMode::kFrozen);
+  next.set_mode(PeerMode::kFrozen);
+  elsewhere.set_mode(PeerMode::kNoStore);
+  Make(change);
+  RunFor(loop, kBound);
+  BOOST_TEST(Applied(change));
+}
+
 // Guards against followers of a gateway that still answers them but hears
 // nothing from the store.
 BOOST_DATA_TEST_CASE_F(FleetFixture,
--- a/Tests/UsersFleet/peer_stand_in.h
+++ b/Tests/UsersFleet/peer_stand_in.h
@@ -15,6 +15,7 @@
 enum class PeerMode {
   kReads,    // answers as the gateway behind it, which reads the store
   kFollows,  // answers that it follows another one
+  kNoStore,  // answers that it reads the store, which does not answer it
   kFrozen,   // accepts connections and answers nothing
 };
 
@@ -42,9 +43,9 @@
   void OnRequest(HttpRequest request, HttpServer::Respond respond) {
     if (request.target.starts_with("/follow/")) ++long_polls_;
     if (mode_ == PeerMode::kFrozen) return;
-    if (mode_ == PeerMode::kFollows) {
+    if (mode_ == PeerMode::kFollows || mode_ == PeerMode::kNoStore) {
       gateway::PeerState state;
-      state.reader = followed_;
+      if (mode_ == PeerMode::kFollows) state.reader = followed_;
       return respond({200, {}, gateway::SerializePeerState(state)});
     }
     reader_.Send(std::move(request), Milliseconds(2'000),
