--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -1,7 +1,8 @@
 // Implementation of the gateway, private to the files that divide it by topic:
 // gateway.cc (start, stop and timers), gateway_store.cc (reads from the store),
-// gateway_leases.cc (leases on keys) and gateway_peers.cc (communication
-// between gateways). Includes Asio.
+// gateway_leases.cc (leases on keys), gateway_peers.cc (communication between
+// gateways) and gateway_state_search.cc (the search for the state of others
+// while the own one is overdue). Includes Asio.
 #ifndef BALSAMHALL_GATEWAY_GATEWAY_IMPL_H_
 #define BALSAMHALL_GATEWAY_GATEWAY_IMPL_H_
 
@@ -37,6 +38,14 @@
 
 // Time-out of a call to another gateway.
 inline constexpr Milliseconds kPeerTimeout{400};
+// Calls to the store are charged, traffic within a data centre is not.
+// Therefore one gateway in each data centre, the reader, reads the store. The
+// others get its state by long polling: it delays its response for up to this
+// time until it has something new.
+inline constexpr Milliseconds kLongPollTime{1'000};
+// Time within which the reader responds. Also the longest time between two
+// responses of the store to a gateway that reads it.
+inline constexpr Milliseconds kReaderTimeout = kLongPollTime + kPeerTimeout;
 inline constexpr Milliseconds kReportInterval{1'000};
 // Number of consecutive failures after which the store counts as lost; a single
 // lost response says little.
@@ -57,6 +66,9 @@
 // and the id.
 inline constexpr const char* kLeavingTarget = "/leaving";
 
+// Order in which the gateways of a data centre become its reader.
+bool ReadsBefore(const GatewayInstance& a, const GatewayInstance& b);
+
 // Returns nullopt for anything but decimal digits.
 std::optional<std::uint64_t> ParseUnsigned(std::string_view text);
 
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <charconv>
 #include <ranges>
-#include <tuple>
 #include <utility>
 
 #include "gateway/gateway_impl.h"
@@ -9,27 +8,7 @@
 namespace balsamhall::gateway {
 namespace {
 
-// Interval at which a gateway whose state is overdue requests the state of
-// other gateways, because configurations and drains still apply to it: for the
-// first requests, which go to the likely readers, and for the later ones.
-constexpr Milliseconds kFirstPeerRequestInterval{150};
-constexpr std::size_t kFirstPeerRequests = 8;
-constexpr Milliseconds kPeerRequestInterval{400};
-// Calls to the store are charged, traffic within a data centre is not.
-// Therefore one gateway in each data centre, the reader, reads the store. The
-// others get its state by long polling: it delays its response for up to this
-// time until it has something new.
-constexpr Milliseconds kLongPollTime{1'000};
-// Time within which the reader responds. Also the longest time between two
-// responses of the store to a gateway that reads it.
-constexpr Milliseconds kReaderTimeout = kLongPollTime + kPeerTimeout;
-// Maximum age of the state while no reader is followed.
-constexpr Milliseconds kMaxStateAgeWithoutReader{500};
-// Age of the state at which a gateway to which no other one responds reads the
-// store itself. An accepted configuration has to be in force, and a draining
-// endpoint without new requests, after 2.5 s (the users' limits).
-constexpr Milliseconds kDirectReadAge{1'900};
-// Pause between two such requests, and before the next search for a reader.
+// Pause between two long polls, and before the next search for a reader.
 constexpr Milliseconds kFollowPause{80};
 constexpr Milliseconds kNoReaderPause{1'000};
 // How long a starting gateway takes an unresponsive reader for one that starts
@@ -57,12 +36,6 @@
 // time since the VM started would not do, because it may be short.
 constexpr Milliseconds kNeverConfirmedAge{std::chrono::hours(24)};
 
-// Order in which the gateways of a data centre become its reader.
-bool ReadsBefore(const GatewayInstance& a, const GatewayInstance& b) {
-  return a.link_mbps > b.link_mbps ||
-         (a.link_mbps == b.link_mbps && a.id < b.id);
-}
-
 std::vector<ShardKey> DecodeKeys(std::string_view bytes) {
   std::vector<ShardKey> keys;
   for (std::size_t i = 0; i + 1 < bytes.size(); i += 2) {
@@ -75,6 +48,11 @@
 
 }  // namespace
 
+bool ReadsBefore(const GatewayInstance& a, const GatewayInstance& b) {
+  return a.link_mbps > b.link_mbps ||
+         (a.link_mbps == b.link_mbps && a.id < b.id);
+}
+
 std::optional<std::uint64_t> ParseUnsigned(std::string_view text) {
   std::uint64_t number = 0;
   const char* const end = text.data() + text.size();
@@ -97,112 +75,6 @@
   return *client;
 }
 
-bool Gateway::Impl::StateOverdue(BootTime now) const {
-  if (reads_store_) {
-    return store_failures_ > 0 || now - store_response_at_ > kReaderTimeout;
-  }
-  const auto client = peer_clients_.find(follow_address_);
-  if (client != peer_clients_.end() &&
-      client->second->IsReceiving(follow_exchange_)) {
-    return false;
-  }
-  return now - state_confirmed_at_ >
-         (without_reader_since_ ? kMaxStateAgeWithoutReader : kReaderTimeout);
-}
-
-// The gateways that are likely to read the store come first, of these the
-// nearest ones. The one that answered last comes before all others.
-std::vector<GatewayInstance> Gateway::Impl::PeersToAsk() const {
-  struct Candidate {
-    bool answered_last;
-    std::size_t place;  // among the gateways of its data centre
-    Distance distance;
-    GatewayInstance gateway;
-  };
-  std::map<std::string, std::vector<GatewayInstance>> by_data_centre;
-  for (const GatewayInstance& gateway : gateways_ | std::views::values) {
-    if (gateway.id == self_.id) continue;
-    by_data_centre[gateway.data_centre].push_back(gateway);
-  }
-  std::vector<Candidate> candidates;
-  for (auto& [data_centre, gateways] : by_data_centre) {
-    std::ranges::sort(gateways, ReadsBefore);
-    const Distance distance = settings_.DistanceTo(data_centre);
-    for (std::size_t place = 0; place < gateways.size(); ++place) {
-      candidates.push_back({gateways[place].id == last_source_, place, distance,
-                            gateways[place]});
-    }
-  }
-  std::ranges::stable_sort(candidates, {}, [](const Candidate& candidate) {
-    return std::tuple(!candidate.answered_last, candidate.place,
-                      candidate.distance);
-  });
-  std::vector<GatewayInstance> peers;
-  std::ranges::transform(candidates, std::back_inserter(peers),
-                         &Candidate::gateway);
-  return peers;
-}
-
-void Gateway::Impl::WatchState(BootTime now) {
-  if (stopping_ || !StateOverdue(now)) {
-    peer_search_ = {};
-    return;
-  }
-  if (now >= peer_search_.next_request) RequestNextPeerState(now);
-  // If the store is away, reading it does not help.
-  if (!reads_store_ && gateways_known_ && !peer_search_.store_away &&
-      now - state_confirmed_at_ >= kDirectReadAge) {
-    ReadDirectly("no gateway responds");
-  }
-}
-
-void Gateway::Impl::RequestNextPeerState(BootTime now) {
-  const auto peers = PeersToAsk();
-  if (peers.empty()) return;
-  RequestPeerState(peers[peer_search_.requests % peers.size()]);
-  ++peer_search_.requests;
-  peer_search_.next_request = now + (peer_search_.requests < kFirstPeerRequests
-                                         ? kFirstPeerRequestInterval
-                                         : kPeerRequestInterval);
-}
-
-void Gateway::Impl::RequestPeerState(const GatewayInstance& peer) {
-  if (!asked_peers_.insert(peer.id).second) return;
-  HttpClient& client = ClientOf(peer_clients_, peer.address);
-  const BootTime as_of = BootClock::now();
-  const auto done = [this, peer, as_of](const HttpClient::Outcome& outcome) {
-    asked_peers_.erase(peer.id);
-    OnPeerState(peer, outcome, as_of);
-  };
-  // The reader may be well, and only the connections to it silent.
-  if (peer.address == follow_address_) {
-    client.SendOnNew(MakePeerStateRequest(false), kPeerTimeout, done);
-  } else {
-    client.Send(MakePeerStateRequest(false), kPeerTimeout, done);
-  }
-}
-
-void Gateway::Impl::OnPeerState(const GatewayInstance& peer,
-                                const HttpClient::Outcome& outcome,
-                                BootTime as_of) {
-  if (!outcome.response || outcome.response->status != 200) return;
-  auto state = ParsePeerState(outcome.response->body);
-  if (!state) {
-    return LogEvent(EventLevel::kError, "peer_state_rejected",
-                    static_cast<unsigned>(state.error().code),
-                    {{"peer", peer.id}, {"detail", state.error().detail}});
-  }
-  if (!state.value().store_reachable) {
-    if (state.value().reader.empty()) peer_search_.store_away = true;
-    return;
-  }
-  last_source_ = peer.id;
-  last_source_asked_at_ = as_of;
-  avoided_readers_.erase(peer.id);
-  state_confirmed_at_ = std::max(state_confirmed_at_, as_of);
-  ApplyPeerState(std::move(state.value()), as_of);
-}
-
 void Gateway::Impl::ApplyPeerState(PeerState state, BootTime as_of) {
   if (!state.store_reachable) return;
   ApplyPeerConfig(state);
