--- a/Tests/UsersFaults/store_outage_test.cc
+++ b/Tests/UsersFaults/store_outage_test.cc
@@ -56,11 +56,9 @@
   store.set_fault(StoreFault::kNone);
   const bool drains = outage.topic == kRegistryTopic;
   if (drains) {
-    store.Put(kRegistryTopic, plain1.id(), plain1.Entry("plain", "draining"));
+    Drain(plain1);
   } else {
-    json config = Config("0000000a");
-    config["routes"]["new"] = Route("/new/", "safe", "plain");
-    store.Put(kConfigTopic, "config", config.dump());
+    PublishNewRoute();
   }
   RunFor(loop, kBound);
   if (!drains) {
--- a/Tests/UsersFleet/frozen_gateway_test.cc
+++ b/Tests/UsersFleet/frozen_gateway_test.cc
@@ -21,7 +21,6 @@
 
 constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
 constexpr const char* kConfigTopic = "keyed.op";
-constexpr const char* kRegistryTopic = "keyed.servers";
 // Later than the start of any process of a test.
 constexpr std::uint64_t kLaterProcess = 1ULL << 50U;
 // The users' limits: an accepted configuration is in force, and a draining
@@ -35,6 +34,14 @@
                                                   : "draining");
 }
 
+void Make(Change change, GatewayFixture& fixture) {
+  if (change == Change::kDraining) {
+    fixture.Drain(fixture.plain1);
+  } else {
+    fixture.PublishNewRoute();
+  }
+}
+
 struct FrozenCase {
   const char* name;
   bool next_frozen;  // the next gateway of the data centre stands still too
@@ -88,16 +95,6 @@
     return outcome.response ? outcome.response->status : 0;
   }
 
-  void Make(Change change) {
-    if (change == Change::kDraining) {
-      return store.Put(kRegistryTopic, plain1.id(),
-                       plain1.Entry("plain", "draining"));
-    }
-    json config = Config("0000000a");
-    config["routes"]["new"] = Route("/new/", "safe", "plain");
-    store.Put(kConfigTopic, "config", config.dump());
-  }
-
   bool Applied(Change change) {
     if (change == Change::kConfiguration) return Status("/new/x") == 200U;
     const int before = plain1.total_runs();
@@ -136,7 +133,7 @@
     elsewhere.set_mode(PeerMode::kFrozen);
   }
   const std::size_t before = store.deliveries(kConfigTopic);
-  Make(change);
+  Make(change, *this);
   RunFor(loop, kBound);
   BOOST_TEST(Applied(change));
   if (change == Change::kConfiguration) {
@@ -156,7 +153,7 @@
   reader.set_mode(PeerMode::kFrozen);
   next.set_mode(PeerMode::kFrozen);
   elsewhere.set_mode(PeerMode::kNoStore);
-  Make(change);
+  Make(change, *this);
   RunFor(loop, kBound);
   BOOST_TEST(Applied(change));
 }
@@ -184,13 +181,7 @@
   };
   BOOST_REQUIRE(RunUntil([&] { return status("/read/x") == 200U; }));
   link.Set(soak::LinkFault::kSilent);
-  if (change == Change::kDraining) {
-    store.Put(kRegistryTopic, plain1.id(), plain1.Entry("plain", "draining"));
-  } else {
-    json config = Config("0000000a");
-    config["routes"]["new"] = Route("/new/", "safe", "plain");
-    store.Put(kConfigTopic, "config", config.dump());
-  }
+  Make(change, *this);
   RunFor(loop, kBound);
   if (change == Change::kConfiguration) {
     BOOST_TEST(status("/new/x") == 200U);
--- a/Tests/UsersPlatform/gateway_fixture.h
+++ b/Tests/UsersPlatform/gateway_fixture.h
@@ -166,6 +166,18 @@
     return *outcome.response;
   }
 
+  // Publishes a configuration that has the route /new/ as well.
+  void PublishNewRoute() {
+    json config = Config("0000000a");
+    config["routes"]["new"] = Route("/new/", "safe", "plain");
+    store.Put("keyed.op", "config", config.dump());
+  }
+  // Lists an endpoint of the service "plain" as draining.
+  void Drain(const UsersEndpoint& endpoint) {
+    store.Put("keyed.servers", endpoint.id(),
+              endpoint.Entry("plain", "draining"));
+  }
+
   int Runs(const std::string& id) const {
     int runs = 0;
     for (const UsersEndpoint* endpoint : {&plain1, &plain2, &keyed}) {
