Tell how old the store's word is on what a gateway has in force

Callers saw a request handled by a route that had changed 2.5 s before. The users' record can't tell which of three causes it had: the line config_in_force names the source of a configuration, not how long before the store was known to have nothing later, nor over how many gateways that came.

Each response of the store to a read of a log is now a proof that the copy of this log was complete as of a time (StoreProofs): the sending of the read, or the end of its wait if the store had no record until then. Responses between gateways state the age of both proofs at the arrival of the request, so that the sum over hops needs no common clock, and the proof of the receiver is never later than that of the sender. config_in_force has store_age and hops, the new line state_overdue both ages, and the gauges state_age_seconds and state_hops show them at any time. What gateways do is unchanged: nothing decides by the ages yet. Responses of earlier versions carry none and count as new.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -204,6 +204,7 @@
     }
   }
   RespondToLongPolls(false);
+  ReportStateAge(now);
   WatchState(now);
   if (std::exchange(was_ready_, Ready()) != Ready()) {
     LogInfo("readiness", {{"ready", Ready() ? "true" : "false"}});
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -29,6 +29,7 @@
 #include "gateway/peer_state.h"
 #include "gateway/rejected_records.h"
 #include "gateway/store_follower.h"
+#include "gateway/store_proofs.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
 #include "telemetry/event_log.h"
@@ -105,18 +106,22 @@
   // after sent_at.
   void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
-  void OnConfigPage(const LogPage& page);
+  void OnConfigPage(const LogPage& page, BootTime as_of);
   struct ParsedConfig {
     RoutingConfig config;
     SteadyTime::duration parsed_in;
   };
   // Returns nullopt after logging that the text is invalid.
   std::optional<ParsedConfig> ParseConfig(const std::string& text);
-  // source: for the log.
+  // Where a configuration came from, for the log.
+  struct ConfigSource {
+    const char* name;
+    LogProof proof;
+  };
   void ApplyConfig(ParsedConfig parsed, const std::string& text,
-                   const char* source);
+                   const ConfigSource& source);
   // Returns false if the text is not a valid configuration.
-  bool ApplyConfig(const std::string& text, const char* source);
+  bool ApplyConfig(const std::string& text, const ConfigSource& source);
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
@@ -170,12 +175,17 @@
   void RequestPeerState(const GatewayInstance& peer);
   void OnPeerState(const GatewayInstance& peer,
                    const HttpClient::Outcome& outcome, BootTime as_of);
-  void ApplyPeerState(PeerState state, BootTime as_of);
+  // sent: when the state was requested.
+  void ApplyPeerState(PeerState state, BootTime sent);
+  // arrived: when the request for it arrived.
   HttpResponse MakePeerStateResponse(const PeerStateRequest& query,
-                                     bool accepts_patch);
+                                     bool accepts_patch, BootTime arrived);
   PeerStateRequest MakePeerStateQuery(bool long_poll) const;
   HttpRequest MakePeerStateRequest(bool long_poll) const;
-  void ApplyPeerConfig(const PeerState& state);
+  // Returns false if the configuration in the state cannot be applied.
+  bool ApplyPeerConfig(const PeerState& state, const LogProof& proof);
+  // Sets the gauges of the age of this gateway's state.
+  void ReportStateAge(BootTime now);
   bool ReadsStore() const;
   void AddConfig(const PeerStateRequest& query, bool accepts_patch,
                  PeerState& state);
@@ -245,6 +255,8 @@
   // The request to the reader that is in progress.
   std::string follow_address_;
   std::uint64_t follow_exchange_ = 0;
+  // As of when the store has shown that this gateway's state is complete.
+  StoreProofs proofs_;
   // When this gateway's state was last known to be the newest.
   BootTime state_confirmed_at_;
   BootTime store_response_at_;  // the last one from the store
@@ -252,6 +264,7 @@
   struct PeerSearch {
     std::size_t requests = 0;
     BootTime next_request;
+    bool logged = false;
     // A gateway that reads the store answered that it cannot reach it.
     bool store_away = false;
   };
@@ -270,7 +283,7 @@
     PeerStateRequest query;
     bool accepts_patch = false;
     HttpServer::Respond respond;
-    BootTime deadline;
+    BootTime arrived;
   };
   std::vector<LongPoll> long_polls_;
   RejectedRecords rejected_records_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -75,9 +75,17 @@
   return *client;
 }
 
-void Gateway::Impl::ApplyPeerState(PeerState state, BootTime as_of) {
+void Gateway::Impl::ApplyPeerState(PeerState state, BootTime sent) {
   if (!state.store_reachable) return;
-  ApplyPeerConfig(state);
+  // Gateways of earlier versions state no age: what they have counts as new.
+  const BootTime now = BootClock::now();
+  const LogProof config =
+      ProofFrom(state.config_age.value_or(ProofAge{}), sent, now);
+  if (ApplyPeerConfig(state, config)) {
+    proofs_.Extend(Log::kOperatorConfig, config);
+  }
+  proofs_.Extend(Log::kEndpointRegistry,
+                 ProofFrom(state.registry_age.value_or(ProofAge{}), sent, now));
   if (state.endpoints && state.registry_offset >= registry_offset_) {
     registry_offset_ = state.registry_offset;
     OnRegistryChanges(registry_.OnListing(
@@ -85,24 +93,27 @@
   }
   for (LeaseTable& table : state.tables) AdoptTable(std::move(table), "peer");
   for (auto& keeper : keepers_ | std::views::values) {
-    keeper->OnLogEnd(state.leases_end, as_of - state.leases_age);
+    keeper->OnLogEnd(state.leases_end, sent - state.leases_age);
   }
 }
 
-void Gateway::Impl::ApplyPeerConfig(const PeerState& state) {
+bool Gateway::Impl::ApplyPeerConfig(const PeerState& state,
+                                    const LogProof& proof) {
   if (state.config_patch) {
     auto text = configs_.Apply(*state.config_patch);
     if (!text) {
       accepts_patches_ = false;
-      return LogEvent(EventLevel::kError, "config_patch_rejected",
-                      static_cast<unsigned>(text.error().code),
-                      {{"detail", text.error().detail}});
+      LogEvent(EventLevel::kError, "config_patch_rejected",
+               static_cast<unsigned>(text.error().code),
+               {{"detail", text.error().detail}});
+      return false;
     }
-    if (!ApplyConfig(text.value(), "patch")) return;
+    if (!ApplyConfig(text.value(), {"patch", proof})) return false;
   } else if (!state.config.empty()) {
-    if (!ApplyConfig(state.config, "peer")) return;
+    if (!ApplyConfig(state.config, {"peer", proof})) return false;
   }
   config_offset_ = std::max(config_offset_, state.config_offset);
+  return true;
 }
 
 HttpRequest Gateway::Impl::MakePeerStateRequest(bool long_poll) const {
@@ -279,8 +290,9 @@
   for (LongPoll& poll : std::exchange(long_polls_, {})) {
     const bool answerable =
         known || store_lost_ || stopping_ || !reader_.empty();
-    if ((all && answerable) || poll.deadline <= now) {
-      poll.respond(MakePeerStateResponse(poll.query, poll.accepts_patch));
+    if ((all && answerable) || now - poll.arrived >= kLongPollTime) {
+      poll.respond(
+          MakePeerStateResponse(poll.query, poll.accepts_patch, poll.arrived));
     } else {
       long_polls_.push_back(std::move(poll));
     }
@@ -309,7 +321,8 @@
 }
 
 HttpResponse Gateway::Impl::MakePeerStateResponse(const PeerStateRequest& query,
-                                                  bool accepts_patch) {
+                                                  bool accepts_patch,
+                                                  BootTime arrived) {
   const LoopWatch::Step step(loop_watch_, "state");
   PeerState state;
   // State that came from a third gateway is not passed on: without
@@ -319,6 +332,8 @@
   state.reader = reader_;
   state.store_reachable = ReadsStore() && !stopping_;
   if (state.store_reachable) AddConfig(query, accepts_patch, state);
+  state.config_age = AgeAt(proofs_.Of(Log::kOperatorConfig), arrived);
+  state.registry_age = AgeAt(proofs_.Of(Log::kEndpointRegistry), arrived);
   state.registry_offset = registry_offset_;
   if (state.store_reachable &&
       EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
@@ -379,6 +394,7 @@
 void Gateway::Impl::OnPeerRequest(const HttpRequest& request,
                                   const HttpServer::Respond& respond) {
   if (const auto query = ParsePeerStateRequest(request.target)) {
+    const BootTime now = BootClock::now();
     const bool known = registry_.loaded() && routes_ != nullptr;
     const bool accepts_patch =
         !FindHeader(request.headers, kAcceptPatchHeader).empty();
@@ -388,10 +404,9 @@
                                                     query->endpoints_digest,
                                                     query->leases_end, false});
     if (!query->long_poll || due) {
-      return respond(MakePeerStateResponse(*query, accepts_patch));
+      return respond(MakePeerStateResponse(*query, accepts_patch, now));
     }
-    long_polls_.push_back(
-        {*query, accepts_patch, respond, BootClock::now() + kLongPollTime});
+    long_polls_.push_back({*query, accepts_patch, respond, now});
     return;
   }
   if (request.target == kLeavingTarget) {
--- a/Source/gateway/gateway_state_search.cc
+++ b/Source/gateway/gateway_state_search.cc
@@ -74,6 +74,14 @@
     peer_search_ = {};
     return;
   }
+  if (!std::exchange(peer_search_.logged, true)) {
+    LogInfo("state_overdue",
+            {{"reader", reader_},
+             {"reads_store", reads_store_ ? "true" : "false"},
+             {"config_age", FormatAge(proofs_.Of(Log::kOperatorConfig), now)},
+             {"endpoints_age",
+              FormatAge(proofs_.Of(Log::kEndpointRegistry), now)}});
+  }
   if (now >= peer_search_.next_request) RequestNextPeerState(now);
   // If the store is away, reading it does not help.
   if (!reads_store_ && gateways_known_ && !peer_search_.store_away &&
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -48,37 +48,42 @@
 }  // namespace
 
 void Gateway::Impl::FollowLogs() {
+  using Times = StoreFollower::PageTimes;
   const auto follow = [this](StoreFollower::Options options,
                              StoreFollower::PageHandler handler) {
     return std::make_unique<StoreFollower>(
         loop_, store_, options,
         [this, log = options.log, handler = std::move(handler)](
-            const LogPage& page, BootTime as_of) {
+            const LogPage& page, const StoreFollower::PageTimes& times) {
           log_failures_[log] = 0;
-          OnStoreResult(true, "", as_of);
-          handler(page, as_of);
+          OnStoreResult(true, "", times.sent);
+          // The answers that the handler gives to other gateways have both.
+          if (page.next >= page.log_end) proofs_.Extend(log, {times.as_of, 0});
+          handler(page, times);
         },
-        [this, log = options.log](const std::string& detail, BootTime as_of) {
+        [this, log = options.log](const std::string& detail, BootTime sent) {
           // Successes at other logs do not help those that follow this gateway.
           if (++log_failures_[log] == kStoreLostFailures) {
             RespondToLongPolls(true);
           }
-          OnStoreResult(false, detail, as_of);
+          OnStoreResult(false, detail, sent);
         });
   };
   config_follower_ =
       follow({Log::kOperatorConfig, kConfigWait, Milliseconds(0)},
-             [this](const LogPage& page, BootTime) { OnConfigPage(page); });
-  registry_follower_ =
-      follow({Log::kEndpointRegistry, Milliseconds(0), kRegistryInterval},
-             [this](const LogPage& page, BootTime) { OnRegistryPage(page); });
+             [this](const LogPage& page, const Times& times) {
+               OnConfigPage(page, times.as_of);
+             });
+  registry_follower_ = follow(
+      {Log::kEndpointRegistry, Milliseconds(0), kRegistryInterval},
+      [this](const LogPage& page, const Times&) { OnRegistryPage(page); });
   leases_follower_ = follow({Log::kLeases, kLeasesWait, Milliseconds(0)},
-                            [this](const LogPage& page, BootTime as_of) {
-                              OnLeasesPage(page, as_of);
+                            [this](const LogPage& page, const Times& times) {
+                              OnLeasesPage(page, times.sent);
                             });
-  gateways_follower_ =
-      follow({Log::kGateways, Milliseconds(0), kGatewaysInterval},
-             [this](const LogPage& page, BootTime) { OnGatewaysPage(page); });
+  gateways_follower_ = follow(
+      {Log::kGateways, Milliseconds(0), kGatewaysInterval},
+      [this](const LogPage& page, const Times&) { OnGatewaysPage(page); });
   // The list of gateways is read first. Otherwise all gateways that start
   // together, as after a power failure, would read everything from the store at
   // once, over one link.
@@ -134,7 +139,7 @@
   }
 }
 
-void Gateway::Impl::OnConfigPage(const LogPage& page) {
+void Gateway::Impl::OnConfigPage(const LogPage& page, BootTime as_of) {
   const LoopWatch::Step step(loop_watch_, "config");
   // Only the newest version is applied. It need not be the last one.
   std::optional<ParsedConfig> newest;
@@ -157,7 +162,7 @@
     newest = std::move(parsed);
     text = &*record.value;
   }
-  if (newest) ApplyConfig(std::move(*newest), *text, "store");
+  if (newest) ApplyConfig(std::move(*newest), *text, {"store", {as_of, 0}});
   if (last_is_valid) config_offset_ = std::max(config_offset_, page.next);
 }
 
@@ -176,7 +181,8 @@
                       std::chrono::steady_clock::now() - start};
 }
 
-bool Gateway::Impl::ApplyConfig(const std::string& text, const char* source) {
+bool Gateway::Impl::ApplyConfig(const std::string& text,
+                                const ConfigSource& source) {
   const LoopWatch::Step step(loop_watch_, "config");
   auto parsed = ParseConfig(text);
   if (!parsed) return false;
@@ -185,7 +191,7 @@
 }
 
 void Gateway::Impl::ApplyConfig(ParsedConfig parsed, const std::string& text,
-                                const char* source) {
+                                const ConfigSource& source) {
   const auto start = std::chrono::steady_clock::now();
   const auto version = parsed.config.version;
   const auto current = routes_ ? routes_->config().version : 0;
@@ -206,7 +212,9 @@
   LogInfo("config_in_force",
           {{"version", std::to_string(version)},
            {"before", std::to_string(current)},
-           {"source", source},
+           {"source", source.name},
+           {"store_age", FormatAge(source.proof, BootClock::now())},
+           {"hops", std::to_string(source.proof.hops)},
            {"bytes", std::to_string(text.size())},
            {"routes", std::to_string(routes_->config().routes.size())},
            {"parsed_in", FormatMicroseconds(parsed.parsed_in)},
@@ -214,6 +222,19 @@
             FormatMicroseconds(std::chrono::steady_clock::now() - start)}});
 }
 
+void Gateway::Impl::ReportStateAge(BootTime now) {
+  for (const Log log : StoreProofs::kLogs) {
+    const LogProof& proof = proofs_.Of(log);
+    if (proof.as_of == BootTime{}) continue;
+    const std::string label = log == Log::kOperatorConfig
+                                  ? R"(log="configuration")"
+                                  : R"(log="endpoints")";
+    metrics_.Set("state_age_seconds", label,
+                 std::chrono::duration<double>(now - proof.as_of).count());
+    metrics_.Set("state_hops", label, proof.hops);
+  }
+}
+
 void Gateway::Impl::OnEntryRejected(const EndpointId& id, const Error& error) {
   metrics_.Add("endpoint_entries_rejected_total", "", 1);
   if (!rejected_records_.Add(Log::kEndpointRegistry, id)) return;
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -18,6 +18,8 @@
 // A day: no lease of a view this old can be running, and times stay far from
 // overflow.
 constexpr std::uint64_t kMaxLeasesAgeMs = 86'400'000;
+// Far above what a fleet has; keeps sums away from overflow.
+constexpr unsigned kMaxHops = 1'000;
 
 schema::EndpointRecord ToRecord(const EndpointInfo& endpoint) {
   schema::EndpointRecord record;
@@ -46,6 +48,19 @@
   return endpoint;
 }
 
+schema::ProofAgeRecord ToRecord(const ProofAge& age) {
+  schema::ProofAgeRecord record;
+  record.set_age_ms(age.age.count());
+  record.set_hops(age.hops);
+  return record;
+}
+
+ProofAge FromRecord(const schema::ProofAgeRecord& record) {
+  const Milliseconds age(std::clamp<std::int64_t>(
+      record.age_ms(), -kNoProofAge.count(), kNoProofAge.count()));
+  return {age, std::min(record.hops(), kMaxHops)};
+}
+
 }  // namespace
 
 std::uint64_t EndpointsDigest(
@@ -104,6 +119,11 @@
     record.set_config_base(state.config_patch->base_version);
     record.set_config_digest(state.config_patch->patch.digest);
   }
+  if (state.config_age)
+    *record.mutable_config_age() = ToRecord(*state.config_age);
+  if (state.registry_age) {
+    *record.mutable_registry_age() = ToRecord(*state.registry_age);
+  }
   record.set_config_offset(state.config_offset);
   record.set_registry_offset(state.registry_offset);
   record.set_has_endpoints(state.endpoints.has_value());
@@ -139,6 +159,11 @@
     state.config_patch = {record.config_base(),
                           {record.config_patch(), record.config_digest()}};
   }
+  if (record.has_config_age())
+    state.config_age = FromRecord(record.config_age());
+  if (record.has_registry_age()) {
+    state.registry_age = FromRecord(record.registry_age());
+  }
   state.config_offset = record.config_offset();
   state.registry_offset = record.registry_offset();
   if (record.has_endpoints()) {
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -12,6 +12,7 @@
 #include "core/result_code.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
+#include "gateway/store_proofs.h"
 #include "gateway/text_patch.h"
 
 namespace balsamhall::gateway {
@@ -42,6 +43,9 @@
   // Both are empty if the requesting gateway has the newest one.
   std::string config;  // as the operator wrote it
   std::optional<ConfigPatch> config_patch;
+  // How old the store's word is; empty from gateways of earlier versions.
+  std::optional<ProofAge> config_age;
+  std::optional<ProofAge> registry_age;
   // Offset from which later configurations are read; 0: unknown.
   std::uint64_t config_offset = 0;
   // Offset up to which the registry's log was read.
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -33,16 +33,17 @@
 
   void Read() {
     reading_ = true;
-    const BootTime as_of = BootClock::now();
-    const auto done = [self = shared_from_this(), as_of](ReadResult result) {
-      self->OnRead(std::move(result), as_of);
+    // At a store that does not answer, a read that waits hides its return for
+    // as long as it waits.
+    const Milliseconds wait =
+        failing_ || !next_ ? Milliseconds(0) : options_.max_wait;
+    const auto done = [self = shared_from_this(), sent = BootClock::now(),
+                       wait](ReadResult result) {
+      self->OnRead(std::move(result), sent, wait);
     };
     if (!next_) {
       store_.ReadNewest(options_.log, done);
     } else {
-      // At a store that does not answer, a read that waits hides its return for
-      // as long as it waits.
-      const Milliseconds wait = failing_ ? Milliseconds(0) : options_.max_wait;
       store_.ReadFrom(options_.log, *next_, wait, done);
     }
   }
@@ -54,7 +55,7 @@
     store_.ReadFrom(options_.log, *next_, Milliseconds(0),
                     [self = shared_from_this(), now](ReadResult result) {
                       if (self->stopped_ || !result.page) return;
-                      self->HandlePage(*result.page, now);
+                      self->HandlePage(*result.page, {now, now});
                     });
   }
 
@@ -77,7 +78,7 @@
   }
 
  private:
-  void OnRead(ReadResult result, BootTime as_of) {
+  void OnRead(ReadResult result, BootTime sent, Milliseconds wait) {
     reading_ = false;
     if (stopped_) return;
     failing_ = !result.page;
@@ -86,7 +87,7 @@
         next_.reset();
         return Schedule(Milliseconds(0));
       }
-      on_failure_(result.detail, as_of);
+      on_failure_(result.detail, sent);
       retry_pause_ =
           std::clamp(retry_pause_ * 2, kMinRetryPause, kMaxRetryPause);
       return Schedule(retry_pause_);
@@ -99,20 +100,23 @@
          {"next", std::to_string(result.page->next)},
          {"end", std::to_string(result.page->log_end)},
          {"took_ms", std::to_string(std::chrono::duration_cast<Milliseconds>(
-                                        BootClock::now() - as_of)
+                                        BootClock::now() - sent)
                                         .count())}});
-    HandlePage(*result.page, as_of);
+    // The store responds without a record only once the wait is over.
+    const bool waited =
+        result.page->records.empty() && BootClock::now() - sent >= wait;
+    HandlePage(*result.page, {sent, waited ? sent + wait : sent});
     // If the log has further records, the next page is read at once.
     const bool more =
         !result.page->is_snapshot && *next_ < result.page->log_end;
     Schedule(more ? Milliseconds(0) : options_.interval);
   }
 
-  void HandlePage(const LogPage& page, BootTime as_of) {
+  void HandlePage(const LogPage& page, const PageTimes& times) {
     // A parallel read may already have got further.
     if (!page.is_snapshot && next_ && page.next < *next_) return;
     next_ = page.next;
-    on_page_(page, as_of);
+    on_page_(page, times);
   }
 
   void Schedule(Milliseconds pause) {
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -26,10 +26,15 @@
     // Pause between the end of a read and the next one.
     Milliseconds interval{0};
   };
-  // as_of: when the read was sent.
-  using PageHandler = std::function<void(const LogPage&, BootTime as_of)>;
+  struct PageTimes {
+    BootTime sent;  // when the read was sent
+    // The log's end as the page states it is not older than this. Later than
+    // sent if the store has waited for a record in vain.
+    BootTime as_of;
+  };
+  using PageHandler = std::function<void(const LogPage&, const PageTimes&)>;
   using FailureHandler =
-      std::function<void(const std::string& detail, BootTime as_of)>;
+      std::function<void(const std::string& detail, BootTime sent)>;
 
   // The store must outlive the follower.
   StoreFollower(boost::asio::io_context& loop, CoordinationStore& store,
--- a/Tests/Gateway/odd_records_test.cc
+++ b/Tests/Gateway/odd_records_test.cc
@@ -49,6 +49,8 @@
   state.tables[0].version = 5;
   state.leases_end = 5;
   state.leases_age = Milliseconds(120);
+  state.config_age = ProofAge{Milliseconds(900), 1};
+  state.registry_age = ProofAge{Milliseconds(-900), 0};
   return state;
 }
 
