--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -34,13 +34,23 @@
       server_(loop, HttpServerOptions{},
               [this](const HttpRequest& request,
                      const HttpServer::Respond& respond) {
-                OnRequest(request, respond);
-              }) {}
+                OnRequest(request, silent_topics_, respond);
+              }),
+      server_for_some_(loop, HttpServerOptions{},
+                       [this](const HttpRequest& request,
+                              const HttpServer::Respond& respond) {
+                         OnRequest(request, silent_topics_for_some_, respond);
+                       }) {}
 
 std::string UsersStore::Listen() {
   return "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
 }
 
+std::string UsersStore::ListenForSome() {
+  return "127.0.0.1:" +
+         std::to_string(server_for_some_.Listen("127.0.0.1:0").value());
+}
+
 void UsersStore::Put(const std::string& topic, const std::string& key,
                      const std::string& value) {
   topics_[topic].records.push_back({key, value});
@@ -100,17 +110,20 @@
 }
 
 void UsersStore::Read(const std::string& name, std::uint64_t from, int wait_ms,
+                      const std::set<std::string>& silent,
                       const HttpServer::Respond& respond) {
-  if (fault_ == StoreFault::kSilent) return;
+  if (fault_ == StoreFault::kSilent || silent.contains(name)) return;
   const Topic& topic = topics_[name];
   if (from < topic.first) {
     return respond(JsonReply({{"first", topic.first}}, 410));
   }
   const std::uint64_t end = topic.records.size();
   if (from >= end && wait_ms > 0) {
-    return RunAfter(loop_, kPoll, [this, name, from, wait_ms, respond] {
-      Read(name, from, wait_ms - static_cast<int>(kPoll.count()), respond);
-    });
+    return RunAfter(
+        loop_, kPoll, [this, name, from, wait_ms, &silent, respond] {
+          Read(name, from, wait_ms - static_cast<int>(kPoll.count()), silent,
+               respond);
+        });
   }
   if (from < end) ++deliveries_[name];
   std::string body = BigEndian(end, 8) + BigEndian(topic.first, 8);
@@ -124,6 +137,7 @@
 }
 
 void UsersStore::OnRequest(const HttpRequest& request,
+                           const std::set<std::string>& silent,
                            const HttpServer::Respond& respond) {
   const Target target(request.target);
   const std::string call = target.path.empty() ? "" : target.path[0];
@@ -136,11 +150,11 @@
     if (fault_ != StoreFault::kLoseAppends) respond(response);
     return;
   }
-  if (silent_topics_.contains(target.Text("topic"))) return;
+  if (silent.contains(target.Text("topic"))) return;
   if (call == "log-newest") return respond(Newest(target.Text("topic")));
   if (call == "log-read") {
     return Read(target.Text("topic"), target.Number("from", 0),
-                static_cast<int>(target.Number("wait_ms", 0)), respond);
+                static_cast<int>(target.Number("wait_ms", 0)), silent, respond);
   }
   if (call == "log-join") {
     const json body = json::parse(request.body);
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -32,6 +32,12 @@
   explicit UsersStore(boost::asio::io_context& loop);
 
   std::string Listen();
+  // Returns a further address, which has faults of its own. Call it once.
+  std::string ListenForSome();
+  // Reads of these topics that arrive at that address get no answer.
+  void set_silent_topics_for_some(std::set<std::string> topics) {
+    silent_topics_for_some_ = std::move(topics);
+  }
   // Appends as the operator or an endpoint would; an empty value drops the key.
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
@@ -59,14 +65,18 @@
   };
 
   void OnRequest(const HttpRequest& request,
+                 const std::set<std::string>& silent,
                  const HttpServer::Respond& respond);
   HttpResponse Append(const HttpRequest& request);
   HttpResponse Newest(const std::string& topic);
+  // silent: topics whose reads that wait here get no answer either.
   void Read(const std::string& topic, std::uint64_t from, int wait_ms,
+            const std::set<std::string>& silent,
             const HttpServer::Respond& respond);
 
   boost::asio::io_context& loop_;
   HttpServer server_;
+  HttpServer server_for_some_;
   std::map<std::string, Topic> topics_;
   std::map<std::string, std::size_t> calls_;
   std::map<std::string, std::size_t> reads_;
@@ -76,6 +86,7 @@
   std::uint64_t generation_ = 0;
   StoreFault fault_ = StoreFault::kNone;
   std::set<std::string> silent_topics_;
+  std::set<std::string> silent_topics_for_some_;
 };
 
 }  // namespace balsamhall::stand_in
--- a/Tests/UsersFleet/frozen_gateway_test.cc
+++ b/Tests/UsersFleet/frozen_gateway_test.cc
@@ -3,44 +3,18 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <chrono>
-#include <memory>
-#include <optional>
 #include <ostream>
 #include <string>
 
 #include "Soak/loopback_proxy.h"
-#include "StandIn/http_reply.h"
-#include "UsersFleet/fleet_fixture.h"
-#include "UsersFleet/peer_stand_in.h"
+#include "UsersFleet/frozen_fixture.h"
 
 namespace balsamhall::platform {
 namespace {
 
 namespace data = boost::unit_test::data;
 
-constexpr const char* kGatewaysTopic = "keyed.balsamhall-routers";
 constexpr const char* kConfigTopic = "keyed.op";
-// Later than the start of any process of a test.
-constexpr std::uint64_t kLaterProcess = 1ULL << 50U;
-// The users' limits: an accepted configuration is in force, and a draining
-// endpoint gets no new request, after this time.
-constexpr Milliseconds kBound{2'500};
-
-enum class Change { kConfiguration, kDraining };
-
-std::ostream& operator<<(std::ostream& out, Change change) {
-  return out << (change == Change::kConfiguration ? "configuration"
-                                                  : "draining");
-}
-
-void Make(Change change, GatewayFixture& fixture) {
-  if (change == Change::kDraining) {
-    fixture.Drain(fixture.plain1);
-  } else {
-    fixture.PublishNewRoute();
-  }
-}
 
 struct FrozenCase {
   const char* name;
@@ -65,53 +39,6 @@
     {"all others", true, Milliseconds(0), true, true},
 };
 
-struct FrozenFixture : FleetFixture {
-  FrozenFixture() {
-    Register("gateway-2", reader.Listen(), "b");
-    Register("gateway-3", next.Listen(), "b");
-    Register("gateway-1", elsewhere.Listen(), "a");
-    next.set_followed("gateway-2");
-    next.set_mode(PeerMode::kFollows);
-    observed.emplace(*this, "gateway-4", "b");
-    BOOST_REQUIRE(observed->process.Start());
-    front.emplace(loop, observed->settings.front_address, HttpClientOptions{});
-    BOOST_REQUIRE(
-        RunUntil([this] { return StateOf(*observed).reader == "gateway-2"; }));
-    BOOST_REQUIRE(RunUntil([this] { return Status("/read/x") == 200U; }));
-  }
-
-  void Register(const std::string& id, const std::string& address,
-                const std::string& data_centre) {
-    store.Put(kGatewaysTopic, id,
-              gateway::SerializeGatewayInstance(
-                  {id, kLaterProcess, address, data_centre}));
-  }
-
-  unsigned Status(const std::string& target) {
-    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
-      front->Send(Request(target, "r" + std::to_string(++last)),
-                  Milliseconds(1'000), done);
-    });
-    return outcome.response ? outcome.response->status : 0;
-  }
-
-  bool Applied(Change change) {
-    if (change == Change::kConfiguration) return Status("/new/x") == 200U;
-    const int before = plain1.total_runs();
-    for (int i = 0; i < 6; ++i) {
-      if (Status("/read/x") != 200U) return false;
-    }
-    return plain1.total_runs() == before;
-  }
-
-  PeerStandIn reader{loop, peer_address};
-  PeerStandIn next{loop, peer_address};
-  PeerStandIn elsewhere{loop, peer_address};
-  std::optional<Other> observed;
-  std::optional<HttpClient> front;
-  int last = 0;
-};
-
 // Guards against a gateway that waits for one gateway after the other, each
 // within its time-out, until a change is long overdue.
 BOOST_DATA_TEST_CASE_F(FrozenFixture,
--- a/Tests/UsersFleet/peer_stand_in.h
+++ b/Tests/UsersFleet/peer_stand_in.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <utility>
 
+#include "StandIn/http_reply.h"
 #include "gateway/peer_state.h"
 #include "net/http_client.h"
 #include "net/http_server.h"
@@ -16,7 +17,10 @@
   kReads,    // answers as the gateway behind it, which reads the store
   kFollows,  // answers that it follows another one
   kNoStore,  // answers that it reads the store, which does not answer it
-  kFrozen,   // accepts connections and answers nothing
+  // Answers that it reads the store, but has heard nothing from it since the
+  // mode was set: it has just turned to it, or stood still until now.
+  kStale,
+  kFrozen,  // accepts connections and answers nothing
 };
 
 // Runs on one loop, which must outlive it.
@@ -24,7 +28,8 @@
  public:
   // reader: the peer address of a gateway that reads the store.
   PeerStandIn(boost::asio::io_context& loop, const std::string& reader)
-      : reader_(loop, reader, HttpClientOptions{}),
+      : loop_(loop),
+        reader_(loop, reader, HttpClientOptions{}),
         server_(loop, HttpServerOptions{},
                 [this](HttpRequest request, HttpServer::Respond respond) {
                   OnRequest(std::move(request), std::move(respond));
@@ -33,7 +38,10 @@
   std::string Listen() {
     return "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
   }
-  void set_mode(PeerMode mode) { mode_ = mode; }
+  void set_mode(PeerMode mode) {
+    mode_ = mode;
+    mode_since_ = gateway::BootClock::now();
+  }
   // The gateway that it follows.
   void set_followed(RouterId id) { followed_ = std::move(id); }
   // Long polls that have arrived.
@@ -43,6 +51,7 @@
   void OnRequest(HttpRequest request, HttpServer::Respond respond) {
     if (request.target.starts_with("/follow/")) ++long_polls_;
     if (mode_ == PeerMode::kFrozen) return;
+    if (mode_ == PeerMode::kStale) return RespondStale(request, respond);
     if (mode_ == PeerMode::kFollows || mode_ == PeerMode::kNoStore) {
       gateway::PeerState state;
       if (mode_ == PeerMode::kFollows) state.reader = followed_;
@@ -57,9 +66,26 @@
                  });
   }
 
+  // Says nothing new, at once or at the end of a long poll.
+  void RespondStale(const HttpRequest& request,
+                    const HttpServer::Respond& respond) {
+    const auto age =
+        gateway::AgeAt({mode_since_, 0}, gateway::BootClock::now());
+    gateway::PeerState state;
+    state.store_reachable = true;
+    state.config_age = state.registry_age = age;
+    state.leases_age = age.age;
+    const HttpResponse response{200, {}, gateway::SerializePeerState(state)};
+    if (!request.target.starts_with("/follow/")) return respond(response);
+    stand_in::RunAfter(loop_, Milliseconds(1'000),
+                       [respond, response] { respond(response); });
+  }
+
+  boost::asio::io_context& loop_;
   HttpClient reader_;
   HttpServer server_;
   PeerMode mode_ = PeerMode::kReads;
+  gateway::BootTime mode_since_;
   RouterId followed_;
   int long_polls_ = 0;
 };
