Act on how old the store's word is, summed over gateways, not on who answers

Cause, as a class: a gateway took any answer for a proof that its state was the newest.

- An answer of another gateway counted as of its arrival, or of the request's sending, from the moment at which that gateway turned to the store, and also after it had stood still: the receiver began its wait anew.
- One time stood for three logs: reads of the registry that succeeded hid a read of the configuration that was lost or held, and the reverse.
- A gateway that alone had lost the store kept others from reading it.
- The waits had a bound for each hop, not for their sum.

At 1.95 s the state of others is requested, and at 2.2 s without a current one the store is read, whatever answered meanwhile. Another gateway's loss of the store only turns that into one probe a second. A reader responds to long polls when it can make a follower's state newer by 0.5 s, so that a calm fleet stays below 1.95 s without further calls to the store. While the bytes of a configuration arrive, nothing more is requested, as before.

--- a/Source/gateway/coordination_store.h
+++ b/Source/gateway/coordination_store.h
@@ -67,6 +67,8 @@
   // Reads from an offset on; the store waits up to the given time for a record.
   virtual void ReadFrom(Log log, std::uint64_t offset, Milliseconds wait,
                         std::function<void(ReadResult)> done) = 0;
+  // Returns whether bytes of the response to a ReadFrom of the log arrive.
+  virtual bool IsReceiving(Log log) const = 0;
   // Appends a record; with expected_end only if the log ends there.
   virtual void Append(Log log, const std::string& key, const std::string& value,
                       std::optional<std::uint64_t> expected_end,
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -52,7 +52,7 @@
       forwarder_(loop, settings_, dialect, notices_, metrics_),
       request_memory_(std::make_shared<BodyMemory>(settings_.memory_bytes /
                                                    kRequestsDivisor)),
-      state_confirmed_at_(started_),
+      source_response_at_(started_),
       tick_timer_(loop),
       watch_timer_(loop),
       join_timer_(loop),
@@ -209,9 +209,17 @@
   if (std::exchange(was_ready_, Ready()) != Ready()) {
     LogInfo("readiness", {{"ready", Ready() ? "true" : "false"}});
   }
-  RunAfter(tick_timer_,
-           elected_ || store_lost_ ? kActiveTickInterval : kIdleTickInterval,
-           [this] { Tick(); });
+  RunAfter(tick_timer_, TickInterval(now), [this] { Tick(); });
+}
+
+Milliseconds Gateway::Impl::TickInterval(BootTime now) const {
+  if (elected_ || store_lost_ || peer_search_.requests > 0) {
+    return kActiveTickInterval;
+  }
+  // So that a state that becomes overdue is noticed at once.
+  const auto until_overdue =
+      std::chrono::ceil<Milliseconds>(StateAsOf() + kMaxStateAge - now);
+  return std::clamp(until_overdue, kActiveTickInterval, kIdleTickInterval);
 }
 
 void Gateway::Impl::Reload(const GatewaySettings& settings) {
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -48,6 +48,10 @@
 // responses of the store to a gateway that reads it.
 inline constexpr Milliseconds kReaderTimeout = kLongPollTime + kPeerTimeout;
 inline constexpr Milliseconds kReportInterval{1'000};
+// Age of its state at which a gateway asks others for theirs. With responses in
+// time it stays below: a wait at the store, two round trips to it and the pause
+// between two long polls.
+inline constexpr Milliseconds kMaxStateAge{1'950};
 // Number of consecutive failures after which the store counts as lost; a single
 // lost response says little.
 inline constexpr int kStoreLostFailures = 2;
@@ -106,6 +110,9 @@
   // after sent_at.
   void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
+  // The store has answered a read. Reads on if nothing else has kept the state
+  // current.
+  void OnStoreAnswers();
   void OnConfigPage(const LogPage& page, BootTime as_of);
   struct ParsedConfig {
     RoutingConfig config;
@@ -161,15 +168,22 @@
                      const EndpointRef& endpoint,
                      const HttpClient::Outcome& outcome);
   HttpClient& CallClientOf(const std::string& address);
+  void OnPeerStateRequest(const PeerStateRequest& query,
+                          const HttpRequest& request,
+                          const HttpServer::Respond& respond);
   void OnPeerRequest(const HttpRequest& request,
                      const HttpServer::Respond& respond);
-  // Whether this gateway may be missing changes, because what it learns from
-  // has not answered in time.
+  // Whether this gateway may be missing changes: what it learns from has not
+  // answered in time, or what the store has shown is too old.
   bool StateOverdue(BootTime now) const;
   // While the state is overdue, requests the state of one gateway after the
-  // other without waiting for the answers, and reads the store itself if there
-  // are none.
+  // other without waiting for the answers, and reads the store itself if none
+  // has a current one.
   void WatchState(BootTime now);
+  // Reads the configuration once, although another gateway cannot reach the
+  // store.
+  void ProbeStore(BootTime now);
+  Milliseconds TickInterval(BootTime now) const;
   std::vector<GatewayInstance> PeersToAsk() const;
   void RequestNextPeerState(BootTime now);
   void RequestPeerState(const GatewayInstance& peer);
@@ -178,12 +192,20 @@
   // sent: when the state was requested.
   void ApplyPeerState(PeerState state, BootTime sent);
   // arrived: when the request for it arrived.
-  HttpResponse MakePeerStateResponse(const PeerStateRequest& query,
-                                     bool accepts_patch, BootTime arrived);
+  struct LongPoll;
+  HttpResponse MakePeerStateResponse(const LongPoll& poll);
   PeerStateRequest MakePeerStateQuery(bool long_poll) const;
   HttpRequest MakePeerStateRequest(bool long_poll) const;
   // Returns false if the configuration in the state cannot be applied.
   bool ApplyPeerConfig(const PeerState& state, const LogProof& proof);
+  // As of when this gateway's state is complete; not before its start.
+  BootTime StateAsOf() const;
+  // Whether the state that a gateway sent is new enough to follow that gateway,
+  // or to go on without the store.
+  bool IsCurrent(const PeerState& state, BootTime sent) const;
+  // Returns whether this gateway knows much later than the requesting one that
+  // its state is complete.
+  bool HasLaterProof(const LongPoll& poll) const;
   // Sets the gauges of the age of this gateway's state.
   void ReportStateAge(BootTime now);
   bool ReadsStore() const;
@@ -257,16 +279,21 @@
   std::uint64_t follow_exchange_ = 0;
   // As of when the store has shown that this gateway's state is complete.
   StoreProofs proofs_;
-  // When this gateway's state was last known to be the newest.
-  BootTime state_confirmed_at_;
+  // When a gateway last showed, and when it was asked, that it is responding
+  // with a current state.
+  BootTime source_response_at_;
   BootTime store_response_at_;  // the last one from the store
+  // The gateway that this one follows receives a configuration.
+  bool config_arriving_ = false;
   // The search for another source while the state is overdue.
   struct PeerSearch {
     std::size_t requests = 0;
     BootTime next_request;
     bool logged = false;
-    // A gateway that reads the store answered that it cannot reach it.
+    // A gateway that reads the store answered that it cannot reach it. That
+    // says nothing about whether the store answers this one.
     bool store_away = false;
+    BootTime next_probe;
   };
   PeerSearch peer_search_;
   std::set<RouterId> asked_peers_;  // that have not answered yet
@@ -278,12 +305,15 @@
   // The gateway that is expected to take over, and since when.
   RouterId next_reader_;
   BootTime next_reader_since_;
-  // A request for the state of this gateway that has not been responded to yet.
+  // A request for the state of this gateway.
   struct LongPoll {
     PeerStateRequest query;
     bool accepts_patch = false;
-    HttpServer::Respond respond;
     BootTime arrived;
+    // As of when the state of the requesting gateway is complete; empty from
+    // gateways of earlier versions.
+    std::optional<BootTime> known_as_of;
+    HttpServer::Respond respond;
   };
   std::vector<LongPoll> long_polls_;
   RejectedRecords rejected_records_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -31,6 +31,9 @@
 // up. A configuration takes long on a slow link, and would start anew.
 constexpr Milliseconds kProgressInterval{400};
 constexpr Milliseconds kMaxReadingBeyond{2'000};
+// Difference between the ages of two gateways' states from which on a long poll
+// is responded to although nothing has changed.
+constexpr Milliseconds kMinAgeGain{500};
 constexpr Milliseconds kConnectTimeout{250};
 // Age of leases that were never read: far above LeaseKeeper::kMaxViewAge. The
 // time since the VM started would not do, because it may be short.
@@ -95,6 +98,7 @@
   for (auto& keeper : keepers_ | std::views::values) {
     keeper->OnLogEnd(state.leases_end, sent - state.leases_age);
   }
+  RespondToLongPolls(false);
 }
 
 bool Gateway::Impl::ApplyPeerConfig(const PeerState& state,
@@ -120,6 +124,10 @@
   HttpRequest request{
       "GET", FormatPeerStateRequest(MakePeerStateQuery(long_poll)), {}, "", 0};
   if (accepts_patches_) request.headers.emplace_back(kAcceptPatchHeader, "1");
+  request.headers.emplace_back(
+      kStateAgeHeader, std::to_string(std::chrono::ceil<Milliseconds>(
+                                          BootClock::now() - StateAsOf())
+                                          .count()));
   return request;
 }
 
@@ -239,6 +247,7 @@
                    : Result<PeerState>(Error{ResultCode::kPeerUnreachable,
                                              outcome.error.detail});
   if (!state || !state.value().store_reachable) {
+    config_arriving_ = false;
     if (state) OnReaderNamed(state.value().reader);
     OnReaderFailed(
         reader,
@@ -246,12 +255,16 @@
          state ? "reader does not read the store" : state.error().detail});
     return RunAfter(follow_timer_, kFollowPause, [this] { FollowReader(); });
   }
-  without_reader_since_.reset();
-  next_reader_.clear();
-  state_confirmed_at_ = BootClock::now();
-  OnStoreResult(true, "", as_of);
+  config_arriving_ = state.value().config_arriving;
+  const bool current = IsCurrent(state.value(), as_of);
+  if (current) {
+    without_reader_since_.reset();
+    next_reader_.clear();
+    source_response_at_ = BootClock::now();
+    OnStoreResult(true, "", as_of);
+  }
   ApplyPeerState(std::move(state.value()), as_of);
-  if (!elected_ && std::exchange(reader_, reader.id) != reader.id) {
+  if (current && !elected_ && std::exchange(reader_, reader.id) != reader.id) {
     // Those that follow this gateway learn its reader.
     RespondToLongPolls(true);
     LogInfo("following", {{"reader", reader.id}});
@@ -290,9 +303,9 @@
   for (LongPoll& poll : std::exchange(long_polls_, {})) {
     const bool answerable =
         known || store_lost_ || stopping_ || !reader_.empty();
-    if ((all && answerable) || now - poll.arrived >= kLongPollTime) {
-      poll.respond(
-          MakePeerStateResponse(poll.query, poll.accepts_patch, poll.arrived));
+    if ((all && answerable) || HasLaterProof(poll) ||
+        now - poll.arrived >= kLongPollTime) {
+      poll.respond(MakePeerStateResponse(poll));
     } else {
       long_polls_.push_back(std::move(poll));
     }
@@ -320,10 +333,15 @@
   }
 }
 
-HttpResponse Gateway::Impl::MakePeerStateResponse(const PeerStateRequest& query,
-                                                  bool accepts_patch,
-                                                  BootTime arrived) {
+bool Gateway::Impl::HasLaterProof(const LongPoll& poll) const {
+  const BootTime as_of = proofs_.oldest();
+  return poll.known_as_of && as_of != BootTime{} &&
+         as_of - *poll.known_as_of >= kMinAgeGain;
+}
+
+HttpResponse Gateway::Impl::MakePeerStateResponse(const LongPoll& poll) {
   const LoopWatch::Step step(loop_watch_, "state");
+  const PeerStateRequest& query = poll.query;
   PeerState state;
   // State that came from a third gateway is not passed on: without
   // store_reachable the receiver ignores the response. A gateway that stops is
@@ -331,9 +349,10 @@
   state.stopping = stopping_;
   state.reader = reader_;
   state.store_reachable = ReadsStore() && !stopping_;
-  if (state.store_reachable) AddConfig(query, accepts_patch, state);
-  state.config_age = AgeAt(proofs_.Of(Log::kOperatorConfig), arrived);
-  state.registry_age = AgeAt(proofs_.Of(Log::kEndpointRegistry), arrived);
+  if (state.store_reachable) AddConfig(query, poll.accepts_patch, state);
+  state.config_age = AgeAt(proofs_.Of(Log::kOperatorConfig), poll.arrived);
+  state.registry_age = AgeAt(proofs_.Of(Log::kEndpointRegistry), poll.arrived);
+  state.config_arriving = store_.IsReceiving(Log::kOperatorConfig);
   state.registry_offset = registry_offset_;
   if (state.store_reachable &&
       EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
@@ -391,23 +410,33 @@
   return {204, {}, ""};
 }
 
+void Gateway::Impl::OnPeerStateRequest(const PeerStateRequest& query,
+                                       const HttpRequest& request,
+                                       const HttpServer::Respond& respond) {
+  LongPoll poll{query, !FindHeader(request.headers, kAcceptPatchHeader).empty(),
+                BootClock::now(), std::nullopt, respond};
+  const auto age = ParseUnsigned(FindHeader(request.headers, kStateAgeHeader));
+  if (age) {
+    const auto limit = static_cast<std::uint64_t>(kNoProofAge.count());
+    poll.known_as_of =
+        poll.arrived -
+        Milliseconds(static_cast<std::int64_t>(std::min(*age, limit)));
+  }
+  const bool known = registry_.loaded() && routes_ != nullptr;
+  const bool due = store_lost_ || !reader_.empty() || stopping_ ||
+                   (known && (HasLaterProof(poll) ||
+                              MakePeerStateQuery(false) !=
+                                  PeerStateRequest{query.config_version,
+                                                   query.endpoints_digest,
+                                                   query.leases_end, false}));
+  if (!query.long_poll || due) return respond(MakePeerStateResponse(poll));
+  long_polls_.push_back(std::move(poll));
+}
+
 void Gateway::Impl::OnPeerRequest(const HttpRequest& request,
                                   const HttpServer::Respond& respond) {
   if (const auto query = ParsePeerStateRequest(request.target)) {
-    const BootTime now = BootClock::now();
-    const bool known = registry_.loaded() && routes_ != nullptr;
-    const bool accepts_patch =
-        !FindHeader(request.headers, kAcceptPatchHeader).empty();
-    const bool due = store_lost_ || !reader_.empty() || stopping_ ||
-                     (known && MakePeerStateQuery(false) !=
-                                   PeerStateRequest{query->config_version,
-                                                    query->endpoints_digest,
-                                                    query->leases_end, false});
-    if (!query->long_poll || due) {
-      return respond(MakePeerStateResponse(*query, accepts_patch, now));
-    }
-    long_polls_.push_back({*query, accepts_patch, respond, now});
-    return;
+    return OnPeerStateRequest(*query, request, respond);
   }
   if (request.target == kLeavingTarget) {
     return respond(OnPeerLeaving(request.body));
--- a/Source/gateway/gateway_state_search.cc
+++ b/Source/gateway/gateway_state_search.cc
@@ -16,24 +16,44 @@
 constexpr Milliseconds kPeerRequestInterval{400};
 // Maximum age of the state while no reader is followed.
 constexpr Milliseconds kMaxStateAgeWithoutReader{500};
-// Age of the state at which a gateway to which no other one responds reads the
-// store itself. An accepted configuration has to be in force, and a draining
-// endpoint without new requests, after 2.5 s (the users' limits).
-constexpr Milliseconds kDirectReadAge{1'900};
+// Age of the state at which a gateway that finds no current one reads the store
+// itself. An accepted configuration has to be in force, and a draining endpoint
+// without new requests, after 2.5 s (the users' limits).
+constexpr Milliseconds kDirectReadAge{2'200};
+// Interval of single reads while another gateway cannot reach the store, so
+// that a fleet without the store does not read everything at its return.
+constexpr Milliseconds kProbeInterval{1'000};
 
 }  // namespace
 
+BootTime Gateway::Impl::StateAsOf() const {
+  return std::max(proofs_.oldest(), started_);
+}
+
 bool Gateway::Impl::StateOverdue(BootTime now) const {
+  const bool is_old = now - StateAsOf() > kMaxStateAge;
   if (reads_store_) {
-    return store_failures_ > 0 || now - store_response_at_ > kReaderTimeout;
+    return store_failures_ > 0 || now - store_response_at_ > kReaderTimeout ||
+           (is_old && !store_.IsReceiving(Log::kOperatorConfig));
   }
   const auto client = peer_clients_.find(follow_address_);
   if (client != peer_clients_.end() &&
       client->second->IsReceiving(follow_exchange_)) {
     return false;
   }
-  return now - state_confirmed_at_ >
-         (without_reader_since_ ? kMaxStateAgeWithoutReader : kReaderTimeout);
+  return (is_old && !config_arriving_) ||
+         now - source_response_at_ > (without_reader_since_
+                                          ? kMaxStateAgeWithoutReader
+                                          : kReaderTimeout);
+}
+
+bool Gateway::Impl::IsCurrent(const PeerState& state, BootTime sent) const {
+  const BootTime now = BootClock::now();
+  const auto is_current = [&](const std::optional<ProofAge>& age) {
+    return now - ProofFrom(age.value_or(ProofAge{}), sent, now).as_of <=
+           kMaxStateAge;
+  };
+  return is_current(state.config_age) && is_current(state.registry_age);
 }
 
 // The gateways that are likely to read the store come first, of these the
@@ -83,10 +103,27 @@
               FormatAge(proofs_.Of(Log::kEndpointRegistry), now)}});
   }
   if (now >= peer_search_.next_request) RequestNextPeerState(now);
-  // If the store is away, reading it does not help.
-  if (!reads_store_ && gateways_known_ && !peer_search_.store_away &&
-      now - state_confirmed_at_ >= kDirectReadAge) {
-    ReadDirectly("no gateway responds");
+  if (reads_store_ || !gateways_known_ || now - StateAsOf() < kDirectReadAge) {
+    return;
+  }
+  if (peer_search_.store_away) {
+    ProbeStore(now);
+  } else {
+    ReadDirectly("no gateway has a current state");
+  }
+}
+
+void Gateway::Impl::ProbeStore(BootTime now) {
+  if (now < peer_search_.next_probe) return;
+  peer_search_.next_probe = now + kProbeInterval;
+  config_follower_->ReadNow(config_offset_);
+}
+
+void Gateway::Impl::OnStoreAnswers() {
+  const BootTime now = BootClock::now();
+  if (!reads_store_ && gateways_known_ && StateOverdue(now) &&
+      now - StateAsOf() >= kDirectReadAge) {
+    ReadDirectly("the store answers");
   }
 }
 
@@ -130,10 +167,12 @@
     if (state.value().reader.empty()) peer_search_.store_away = true;
     return;
   }
-  last_source_ = peer.id;
-  last_source_asked_at_ = as_of;
-  avoided_readers_.erase(peer.id);
-  state_confirmed_at_ = std::max(state_confirmed_at_, as_of);
+  if (IsCurrent(state.value(), as_of)) {
+    last_source_ = peer.id;
+    last_source_asked_at_ = as_of;
+    avoided_readers_.erase(peer.id);
+    source_response_at_ = std::max(source_response_at_, as_of);
+  }
   ApplyPeerState(std::move(state.value()), as_of);
 }
 
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -13,6 +13,7 @@
 // wait, the time-out after it and the pause before the next read together have
 // to be within the limit.
 constexpr Milliseconds kConfigWait{1'700};
+constexpr Milliseconds kConfigMaxAge{1'800};
 constexpr Milliseconds kLeasesWait{4'000};
 // A draining endpoint must get no new requests after 2.5 s (the users' limit).
 constexpr Milliseconds kRegistryInterval{900};
@@ -60,6 +61,8 @@
           // The answers that the handler gives to other gateways have both.
           if (page.next >= page.log_end) proofs_.Extend(log, {times.as_of, 0});
           handler(page, times);
+          RespondToLongPolls(false);
+          OnStoreAnswers();
         },
         [this, log = options.log](const std::string& detail, BootTime sent) {
           // Successes at other logs do not help those that follow this gateway.
@@ -69,20 +72,22 @@
           OnStoreResult(false, detail, sent);
         });
   };
-  config_follower_ =
-      follow({Log::kOperatorConfig, kConfigWait, Milliseconds(0)},
-             [this](const LogPage& page, const Times& times) {
-               OnConfigPage(page, times.as_of);
-             });
+  config_follower_ = follow(
+      {Log::kOperatorConfig, kConfigWait, kConfigMaxAge, Milliseconds(0)},
+      [this](const LogPage& page, const Times& times) {
+        OnConfigPage(page, times.as_of);
+      });
   registry_follower_ = follow(
-      {Log::kEndpointRegistry, Milliseconds(0), kRegistryInterval},
+      {Log::kEndpointRegistry, Milliseconds(0), Milliseconds(0),
+       kRegistryInterval},
       [this](const LogPage& page, const Times&) { OnRegistryPage(page); });
-  leases_follower_ = follow({Log::kLeases, kLeasesWait, Milliseconds(0)},
-                            [this](const LogPage& page, const Times& times) {
-                              OnLeasesPage(page, times.sent);
-                            });
+  leases_follower_ =
+      follow({Log::kLeases, kLeasesWait, Milliseconds(0), Milliseconds(0)},
+             [this](const LogPage& page, const Times& times) {
+               OnLeasesPage(page, times.sent);
+             });
   gateways_follower_ = follow(
-      {Log::kGateways, Milliseconds(0), kGatewaysInterval},
+      {Log::kGateways, Milliseconds(0), Milliseconds(0), kGatewaysInterval},
       [this](const LogPage& page, const Times&) { OnGatewaysPage(page); });
   // The list of gateways is read first. Otherwise all gateways that start
   // together, as after a power failure, would read everything from the store at
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -124,6 +124,7 @@
   if (state.registry_age) {
     *record.mutable_registry_age() = ToRecord(*state.registry_age);
   }
+  record.set_config_arriving(state.config_arriving);
   record.set_config_offset(state.config_offset);
   record.set_registry_offset(state.registry_offset);
   record.set_has_endpoints(state.endpoints.has_value());
@@ -164,6 +165,7 @@
   if (record.has_registry_age()) {
     state.registry_age = FromRecord(record.registry_age());
   }
+  state.config_arriving = record.config_arriving();
   state.config_offset = record.config_offset();
   state.registry_offset = record.registry_offset();
   if (record.has_endpoints()) {
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -17,6 +17,11 @@
 
 namespace balsamhall::gateway {
 
+// Header of a request: age in milliseconds of the state that the requesting
+// gateway has. One that is much older than that of the other gateway is
+// responded to at once.
+inline constexpr const char* kStateAgeHeader = "Balsamhall-State-Age-Ms";
+
 // What the requesting gateway already has.
 struct PeerStateRequest {
   std::uint64_t config_version = 0;
@@ -46,6 +51,8 @@
   // How old the store's word is; empty from gateways of earlier versions.
   std::optional<ProofAge> config_age;
   std::optional<ProofAge> registry_age;
+  // A configuration is arriving from the store.
+  bool config_arriving = false;
   // Offset from which later configurations are read; 0: unknown.
   std::uint64_t config_offset = 0;
   // Offset up to which the registry's log was read.
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -35,9 +35,10 @@
     reading_ = true;
     // At a store that does not answer, a read that waits hides its return for
     // as long as it waits.
+    const BootTime sent = BootClock::now();
     const Milliseconds wait =
-        failing_ || !next_ ? Milliseconds(0) : options_.max_wait;
-    const auto done = [self = shared_from_this(), sent = BootClock::now(),
+        failing_ || !next_ ? Milliseconds(0) : WaitAt(sent);
+    const auto done = [self = shared_from_this(), sent,
                        wait](ReadResult result) {
       self->OnRead(std::move(result), sent, wait);
     };
@@ -48,9 +49,11 @@
     }
   }
 
-  void ReadNow() {
+  void ReadNow(std::uint64_t min_offset) {
     const BootTime now = BootClock::now();
-    if (!next_ || now - last_read_now_ < kMinReadNowInterval) return;
+    if (now - last_read_now_ < kMinReadNowInterval) return;
+    SkipTo(min_offset);
+    if (!next_) return;
     last_read_now_ = now;
     store_.ReadFrom(options_.log, *next_, Milliseconds(0),
                     [self = shared_from_this(), now](ReadResult result) {
@@ -66,9 +69,7 @@
 
   void Resume(std::uint64_t min_offset) {
     if (!std::exchange(paused_, false)) return;
-    if (next_ || min_offset > 0) {
-      next_ = std::max(next_.value_or(0), min_offset);
-    }
+    SkipTo(min_offset);
     if (!reading_) Read();
   }
 
@@ -78,6 +79,17 @@
   }
 
  private:
+  void SkipTo(std::uint64_t offset) {
+    if (next_ || offset > 0) next_ = std::max(next_.value_or(0), offset);
+  }
+
+  Milliseconds WaitAt(BootTime now) const {
+    if (options_.max_age == Milliseconds(0)) return options_.max_wait;
+    const auto left = std::chrono::duration_cast<Milliseconds>(
+        as_of_ + options_.max_age - now);
+    return std::clamp(left, Milliseconds(0), options_.max_wait);
+  }
+
   void OnRead(ReadResult result, BootTime sent, Milliseconds wait) {
     reading_ = false;
     if (stopped_) return;
@@ -116,6 +128,7 @@
     // A parallel read may already have got further.
     if (!page.is_snapshot && next_ && page.next < *next_) return;
     next_ = page.next;
+    as_of_ = std::max(as_of_, times.as_of);
     on_page_(page, times);
   }
 
@@ -134,6 +147,7 @@
   const FailureHandler on_failure_;
   boost::asio::steady_timer timer_;
   std::optional<std::uint64_t> next_;
+  BootTime as_of_;  // of the last page
   Milliseconds retry_pause_{0};
   BootTime last_read_now_;
   bool reading_ = false;
@@ -158,6 +172,8 @@
   impl_->Resume(min_offset);
 }
 
-void StoreFollower::ReadNow() { impl_->ReadNow(); }
+void StoreFollower::ReadNow(std::uint64_t min_offset) {
+  impl_->ReadNow(min_offset);
+}
 
 }  // namespace balsamhall::gateway
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -23,6 +23,9 @@
     // How long the store may delay its response to a read that finds no record;
     // 0: it responds at once.
     Milliseconds max_wait{0};
+    // Age of what the store has shown at which it has to respond again, without
+    // its way: a page that took long to arrive shortens the next wait. 0: none.
+    Milliseconds max_age{0};
     // Pause between the end of a read and the next one.
     Milliseconds interval{0};
   };
@@ -52,9 +55,10 @@
   // Starts no further reads until Resume; a read in progress is still
   // delivered.
   void Pause();
-  // Reads from the last known offset at once, in parallel with a read in
-  // progress. No effect before the first page or shortly after another ReadNow.
-  void ReadNow();
+  // Reads from the last known offset, or a higher one, at once, in parallel
+  // with a read in progress. No effect shortly after another ReadNow, nor
+  // without an offset, as before the first page.
+  void ReadNow(std::uint64_t min_offset = 0);
 
  private:
   class Impl;
--- a/Tests/UsersFleet/frozen_fixture.h
+++ b/Tests/UsersStale/frozen_fixture.h
@@ -1,16 +1,17 @@
 // A gateway whose reader, the next gateway of its data centre and the one of
 // another data centre are stand-ins, and the changes that it has to have in
 // force in time.
-#ifndef BALSAMHALL_TESTS_USERSFLEET_FROZEN_FIXTURE_H_
-#define BALSAMHALL_TESTS_USERSFLEET_FROZEN_FIXTURE_H_
+#ifndef BALSAMHALL_TESTS_USERSSTALE_FROZEN_FIXTURE_H_
+#define BALSAMHALL_TESTS_USERSSTALE_FROZEN_FIXTURE_H_
 
 #include <optional>
 #include <ostream>
 #include <string>
+#include <utility>
 
 #include "StandIn/http_reply.h"
 #include "UsersFleet/fleet_fixture.h"
-#include "UsersFleet/peer_stand_in.h"
+#include "UsersStale/peer_stand_in.h"
 
 namespace balsamhall::platform {
 
@@ -28,6 +29,15 @@
                                                   : "draining");
 }
 
+// How long ago the store has shown that the state of a gateway is complete.
+enum class StateAge { kNew, kOld };
+inline constexpr Milliseconds kNewState{300};
+inline constexpr Milliseconds kOldState{900};
+
+inline std::ostream& operator<<(std::ostream& out, StateAge age) {
+  return out << (age == StateAge::kNew ? "new state" : "old state");
+}
+
 inline void Make(Change change, GatewayFixture& fixture) {
   if (change == Change::kDraining) {
     fixture.Drain(fixture.plain1);
@@ -61,6 +71,19 @@
     BOOST_REQUIRE(RunUntil([this] { return Status("/read/x") == 200U; }));
   }
 
+  // Waits until the gateway has sent a long poll to its reader, the answer to
+  // which is the first that can be kept from it.
+  bool AwaitLongPoll(StateAge age) {
+    int polls = reader.long_polls();
+    return RunUntil([&] {
+      if (reader.long_polls() == std::exchange(polls, reader.long_polls())) {
+        return false;
+      }
+      return age == StateAge::kNew ? reader.state_age() < kNewState
+                                   : reader.state_age() > kOldState;
+    });
+  }
+
   unsigned Status(const std::string& target) {
     const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
       front->Send(Request(target, "r" + std::to_string(++last)),
@@ -88,4 +111,4 @@
 
 }  // namespace balsamhall::platform
 
-#endif  // BALSAMHALL_TESTS_USERSFLEET_FROZEN_FIXTURE_H_
+#endif  // BALSAMHALL_TESTS_USERSSTALE_FROZEN_FIXTURE_H_
--- a/Tests/UsersFleet/frozen_gateway_test.cc
+++ b/Tests/UsersStale/frozen_gateway_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "Soak/loopback_proxy.h"
-#include "UsersFleet/frozen_fixture.h"
+#include "UsersStale/frozen_fixture.h"
 
 namespace balsamhall::platform {
 namespace {
@@ -43,12 +43,12 @@
 // within its time-out, until a change is long overdue.
 BOOST_DATA_TEST_CASE_F(FrozenFixture,
                        a_change_arrives_beside_gateways_that_stand_still,
-                       data::make(kFrozen) * data::make({Change::kConfiguration,
-                                                         Change::kDraining}),
-                       frozen, change) {
-  // The answer to the next request is the first that never comes.
-  const int polls = reader.long_polls();
-  BOOST_REQUIRE(RunUntil([&] { return reader.long_polls() > polls; }));
+                       data::make(kFrozen) *
+                           data::make({Change::kConfiguration,
+                                       Change::kDraining}) *
+                           data::make({StateAge::kNew, StateAge::kOld}),
+                       frozen, change, age) {
+  BOOST_REQUIRE(AwaitLongPoll(age));
   reader.set_mode(PeerMode::kFrozen);
   if (frozen.next_frozen) {
     next.set_mode(PeerMode::kFrozen);
@@ -64,9 +64,13 @@
   RunFor(loop, kBound);
   BOOST_TEST(Applied(change));
   if (change == Change::kConfiguration) {
+    // An old state cannot wait until the next gateway notices.
+    const bool reads_itself =
+        frozen.reads_itself ||
+        (age == StateAge::kOld && frozen.other_data_centre_frozen);
     // One of them is to the gateway behind the stand-ins.
     BOOST_TEST(store.deliveries(kConfigTopic) - before ==
-               (frozen.reads_itself ? 2U : 1U));
+               (reads_itself ? 2U : 1U));
   }
 }
 
@@ -74,9 +78,10 @@
 // for a store that is away, although all others stand still.
 BOOST_DATA_TEST_CASE_F(
     FrozenFixture, a_change_arrives_beside_a_gateway_that_alone_lost_the_store,
-    data::make({Change::kConfiguration, Change::kDraining}), change) {
-  const int polls = reader.long_polls();
-  BOOST_REQUIRE(RunUntil([&] { return reader.long_polls() > polls; }));
+    data::make({Change::kConfiguration, Change::kDraining}) *
+        data::make({StateAge::kNew, StateAge::kOld}),
+    change, age) {
+  BOOST_REQUIRE(AwaitLongPoll(age));
   reader.set_mode(PeerMode::kFrozen);
   next.set_mode(PeerMode::kFrozen);
   elsewhere.set_mode(PeerMode::kNoStore);
--- a/Tests/UsersFleet/peer_stand_in.h
+++ b/Tests/UsersStale/peer_stand_in.h
@@ -1,6 +1,6 @@
 // Stand-in of a gateway as others of its data centre see it.
-#ifndef BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
-#define BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
+#ifndef BALSAMHALL_TESTS_USERSSTALE_PEER_STAND_IN_H_
+#define BALSAMHALL_TESTS_USERSSTALE_PEER_STAND_IN_H_
 
 #include <boost/asio/io_context.hpp>
 #include <string>
@@ -46,10 +46,17 @@
   void set_followed(RouterId id) { followed_ = std::move(id); }
   // Long polls that have arrived.
   int long_polls() const { return long_polls_; }
+  // Age of the state that the sender of the last one had.
+  Milliseconds state_age() const { return state_age_; }
 
  private:
   void OnRequest(HttpRequest request, HttpServer::Respond respond) {
-    if (request.target.starts_with("/follow/")) ++long_polls_;
+    if (request.target.starts_with("/follow/")) {
+      ++long_polls_;
+      const std::string age(
+          FindHeader(request.headers, gateway::kStateAgeHeader));
+      state_age_ = Milliseconds(age.empty() ? 0 : std::stoi(age));
+    }
     if (mode_ == PeerMode::kFrozen) return;
     if (mode_ == PeerMode::kStale) return RespondStale(request, respond);
     if (mode_ == PeerMode::kFollows || mode_ == PeerMode::kNoStore) {
@@ -88,8 +95,9 @@
   gateway::BootTime mode_since_;
   RouterId followed_;
   int long_polls_ = 0;
+  Milliseconds state_age_{0};
 };
 
 }  // namespace balsamhall::platform
 
-#endif  // BALSAMHALL_TESTS_USERSFLEET_PEER_STAND_IN_H_
+#endif  // BALSAMHALL_TESTS_USERSSTALE_PEER_STAND_IN_H_
--- a/Tests/UsersFleet/stale_source_test.cc
+++ b/Tests/UsersStale/stale_source_test.cc
@@ -6,7 +6,7 @@
 #include <ostream>
 #include <string>
 
-#include "UsersFleet/frozen_fixture.h"
+#include "UsersStale/frozen_fixture.h"
 
 namespace balsamhall::platform {
 namespace {
@@ -38,10 +38,10 @@
                        an_answer_confirms_only_what_the_store_said,
                        data::make(kStaleSources) *
                            data::make({Change::kConfiguration,
-                                       Change::kDraining}),
-                       stale, change) {
-  const int polls = reader.long_polls();
-  BOOST_REQUIRE(RunUntil([&] { return reader.long_polls() > polls; }));
+                                       Change::kDraining}) *
+                           data::make({StateAge::kNew, StateAge::kOld}),
+                       stale, change, age) {
+  BOOST_REQUIRE(AwaitLongPoll(age));
   reader.set_mode(stale.reader);
   next.set_mode(stale.next);
   elsewhere.set_mode(stale.elsewhere);
