Let gateways stand still beside others that the store turns away

In the soak a fault of any gateway excused all gateways of its data centre from then on, so that no gateway was checked undisturbed while its reader stood still; the store failed for all, or for some without changes at that moment.

--stand-still of the soak lets gateways stand still and cuts others off from the store while the configuration changes, with SIGTERM, SIGHUP and endpoints that leave between. A disturbed gateway excuses no other one, and some are never disturbed. The bound is the users' 2.5 s. It has seeds of its own; those of the other modes keep their meaning.

--- a/Tests/Soak/soak.cc
+++ b/Tests/Soak/soak.cc
@@ -32,8 +32,14 @@
   auto next_fault = start + Milliseconds(500);
   while (std::chrono::steady_clock::now() < faults_end) {
     if (std::chrono::steady_clock::now() >= next_fault) {
-      options_.series ? InjectSeries() : InjectFault();
-      next_fault = std::chrono::steady_clock::now() + Between(100, 1'200);
+      if (options_.stand_still) {
+        InjectStandStill();
+      } else {
+        options_.series ? InjectSeries() : InjectFault();
+      }
+      next_fault =
+          std::chrono::steady_clock::now() +
+          (options_.stand_still ? Between(1'000, 5'000) : Between(100, 1'200));
     }
     Step();
   }
--- a/Tests/Soak/soak.h
+++ b/Tests/Soak/soak.h
@@ -22,6 +22,10 @@
   // Faults and planned work in series that overlap, callers with a connection
   // of their own, and checks of the configuration. Has seeds of its own.
   bool series = false;
+  // With series: gateways stand still and the store turns some away while the
+  // configuration changes, and a disturbed gateway excuses no other one. Has
+  // seeds of its own.
+  bool stand_still = false;
   // The next three show that the checks notice. Answers writes with 503 after
   // they ran:
   bool break_promises = false;
--- a/Tests/Soak/soak_config_check.cc
+++ b/Tests/Soak/soak_config_check.cc
@@ -59,6 +59,7 @@
   const auto now = std::chrono::steady_clock::now();
   for (Gateway& other : gateways_) {
     if (other.zone != gateway.zone) continue;
+    if (options_.stand_still && &other != &gateway) continue;
     other.undisturbed_since =
         std::max(other.undisturbed_since, &other == &gateway ? until : now);
   }
--- a/Tests/Soak/soak_main.cc
+++ b/Tests/Soak/soak_main.cc
@@ -115,6 +115,11 @@
                           "stops, reloads, configurations and faults come in "
                           "series; has seeds of its own",
                           line);
+  TCLAP::SwitchArg stand_still(
+      "t", "stand-still",
+      "like --series, but gateways stand still and the store turns some away "
+      "while the configuration changes; has seeds of its own",
+      line);
   TCLAP::SwitchArg cut("x", "cut-connections",
                        "connections to gateways are cut; the checks have to "
                        "notice, with --series",
@@ -132,7 +137,8 @@
   options.endpoints = endpoints.getValue();
   options.callers = callers.getValue();
   options.zones = zones.getValue();
-  options.series = series.getValue();
+  options.series = series.getValue() || stand_still.getValue();
+  options.stand_still = stand_still.getValue();
   options.break_promises = broken.getValue();
   options.cut_connections = cut.getValue();
   options.withhold_configurations = withhold.getValue();
--- a/Tests/Soak/soak_run.h
+++ b/Tests/Soak/soak_run.h
@@ -136,10 +136,16 @@
   void DisturbLink();
   void DisturbStore();
 
+  // soak_stand_still.cc
+  void InjectStandStill();
+  // Some gateways of a run are spared from pauses and cuts.
+  void StandStillSeries();
+  void TurnAway(Gateway& gateway, Milliseconds length);
+
   // soak_config_check.cc
   void WriteConfiguration();
-  // A fault of this gateway until a time; gateways of its data centre may lose
-  // the one that reads for them.
+  // A fault of this gateway until a time. Unless gateways stand still in
+  // series, it gives the others of its data centre time to find another reader.
   void Disturbed(Gateway& gateway, SteadyTime until);
   SteadyTime Due(const Gateway& gateway, int version) const;
   void ProbeConfiguration(Gateway& gateway, int round);
