--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -180,8 +180,8 @@
   // other without waiting for the answers, and reads the store itself if none
   // has a current one.
   void WatchState(BootTime now);
-  // Reads the configuration once, although another gateway cannot reach the
-  // store.
+  // Reads the configuration once, to see whether the store that another gateway
+  // cannot reach answers this one.
   void ProbeStore(BootTime now);
   Milliseconds TickInterval(BootTime now) const;
   std::vector<GatewayInstance> PeersToAsk() const;
@@ -191,7 +191,6 @@
                    const HttpClient::Outcome& outcome, BootTime as_of);
   // sent: when the state was requested.
   void ApplyPeerState(PeerState state, BootTime sent);
-  // arrived: when the request for it arrived.
   struct LongPoll;
   HttpResponse MakePeerStateResponse(const LongPoll& poll);
   PeerStateRequest MakePeerStateQuery(bool long_poll) const;
@@ -203,8 +202,8 @@
   // Whether the state that a gateway sent is new enough to follow that gateway,
   // or to go on without the store.
   bool IsCurrent(const PeerState& state, BootTime sent) const;
-  // Returns whether this gateway knows much later than the requesting one that
-  // its state is complete.
+  // Returns whether the proofs of this gateway are so much later than those of
+  // the requesting one that a response is worth it without any change.
   bool HasLaterProof(const LongPoll& poll) const;
   // Sets the gauges of the age of this gateway's state.
   void ReportStateAge(BootTime now);
@@ -279,8 +278,8 @@
   std::uint64_t follow_exchange_ = 0;
   // As of when the store has shown that this gateway's state is complete.
   StoreProofs proofs_;
-  // When a gateway last showed, and when it was asked, that it is responding
-  // with a current state.
+  // When the gateway that this one follows last responded with a current state,
+  // or another one was asked that did.
   BootTime source_response_at_;
   BootTime store_response_at_;  // the last one from the store
   // The gateway that this one follows receives a configuration.
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -13,6 +13,7 @@
 // wait, the time-out after it and the pause before the next read together have
 // to be within the limit.
 constexpr Milliseconds kConfigWait{1'700};
+// Above the wait and a round trip, so that only a late page shortens the wait.
 constexpr Milliseconds kConfigMaxAge{1'800};
 constexpr Milliseconds kLeasesWait{4'000};
 // A draining endpoint must get no new requests after 2.5 s (the users' limit).
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -119,8 +119,9 @@
     record.set_config_base(state.config_patch->base_version);
     record.set_config_digest(state.config_patch->patch.digest);
   }
-  if (state.config_age)
+  if (state.config_age) {
     *record.mutable_config_age() = ToRecord(*state.config_age);
+  }
   if (state.registry_age) {
     *record.mutable_registry_age() = ToRecord(*state.registry_age);
   }
@@ -160,8 +161,9 @@
     state.config_patch = {record.config_base(),
                           {record.config_patch(), record.config_digest()}};
   }
-  if (record.has_config_age())
+  if (record.has_config_age()) {
     state.config_age = FromRecord(record.config_age());
+  }
   if (record.has_registry_age()) {
     state.registry_age = FromRecord(record.registry_age());
   }
