Count the end of a gateway that stands still as unplanned in the soak

Trace: SIGTERM at 2.318 s, SIGSTOP at 4.177 s, grace over at 8.318 s; the soak then starts the next process and with it kills the one that still stands still, at 8.53 s. The request had been sent at 8.129 s, to a process that did not run. The check excuses requests to a gateway that is paused, or was paused or killed after they were sent; this kill was not recorded, while the pause was taken as over.

The kill is now recorded like any other. No bound has changed, and a request that a running process cuts is still a violation.

--- a/Tests/Soak/soak_fleet.cc
+++ b/Tests/Soak/soak_fleet.cc
@@ -131,6 +131,8 @@
 }
 
 void Soak::Start(Gateway& gateway) {
+  // One that still stands still is killed here.
+  if (gateway.paused) gateway.unplanned = std::chrono::steady_clock::now();
   gateway.process = std::make_unique<ChildProcess>(
       options_.gateway_binary,
       std::vector<std::string>{"--settings", gateway.settings_file},
