Reject statuses outside of 200 to 599 as invalid responses

An endpoint in trouble can write a status line such as 000 or 600. The client took every status from 200 on for a final response, so 600 to 999 reached the caller as an answer; 000 to 099 and 101 were rejected already. All now count as invalid responses: the caller gets 502, and a write is not repeated.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -45,6 +45,7 @@
 constexpr unsigned kFirstInterimStatus = 100;
 constexpr unsigned kSwitchingProtocols = 101;
 constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastStatus = 599;
 // Interim and extra messages ahead of an answer; a server that writes more
 // writes without end.
 constexpr unsigned kMaxMessagesReadOver = 16;
@@ -487,6 +488,10 @@
     return FinishFailed(HttpFailure::kBadAnswer,
                         "status " + std::to_string(status));
   }
+  if (status > kLastStatus) {
+    return FinishFailed(HttpFailure::kBadAnswer,
+                        "status " + std::to_string(status));
+  }
   const bool reusable = message.keep_alive() && !unframed && written_ &&
                         !write_failed_ && !skipped_answer_ &&
                         buffer_.size() == 0;
--- a/Tests/UsersPlatform/endpoint_notices_test.cc
+++ b/Tests/UsersPlatform/endpoint_notices_test.cc
@@ -344,5 +344,48 @@
   }
 }
 
+struct StatusLineCase {
+  const char* name;
+  const char* line;
+};
+
+std::ostream& operator<<(std::ostream& out, const StatusLineCase& c) {
+  return out << c.name;
+}
+
+const StatusLineCase kStatusLines[] = {
+    {"000", "HTTP/1.1 000 Unknown"},
+    {"099", "HTTP/1.1 099 Unknown"},
+    {"101", "HTTP/1.1 101 Switching Protocols"},
+    {"102", "HTTP/1.1 102 Processing"},
+    {"199", "HTTP/1.1 199 Unknown"},
+    {"600", "HTTP/1.1 600 Unknown"},
+    {"999", "HTTP/1.1 999 Unknown"},
+    {"two digits", "HTTP/1.1 20 OK"},
+    {"four digits", "HTTP/1.1 2000 OK"},
+    {"no number", "HTTP/1.1 OK"},
+    {"no status", "HTTP/1.1"},
+    {"negative", "HTTP/1.1 -200 OK"},
+};
+
+// Guards against a status line outside of the protocol that reaches the caller
+// as a response. The request may have run, so a write is not repeated.
+BOOST_DATA_TEST_CASE_F(NoticeFixture, an_invalid_status_is_no_response,
+                       data::make(kStatusLines), status) {
+  Start({[&](const RawRequest& request) -> std::vector<RawPart> {
+    std::string bytes = ResponseBytes(Success(request));
+    if (!request.target.ends_with("probe")) {
+      bytes.replace(0, bytes.find("\r\n"), status.line);
+    }
+    return {{std::move(bytes), Milliseconds(0), true}};
+  }});
+  for (const char* target : {"/raw/write/x", "/raw/read/x"}) {
+    const int before = requests[0];
+    const HttpResponse response = Send(Request(target, "odd"));
+    BOOST_TEST(response.status == 502U);
+    BOOST_TEST(requests[0] == before + 1);
+  }
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
