Read download routes, regions, warm-up and load with four figures

One route of the unknown type download rejected the whole configuration, so a deployment with such routes served nothing, and a load header with a fourth figure was dropped whole, so no load of its endpoints was known.

A route whose regions, or a service whose protocol, has a form that is not known is refused alone, with 503, a log line and a metric. The fourth figure of a load header is kept; one outside of 10 to 10,000 percent is an error. Regions, warm-up and evacuation are decoded for the parts that use them.

--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -17,6 +17,9 @@
   unsigned running = 0;
   unsigned waiting = 0;
   unsigned slots = 0;
+  // Duration of work on the endpoint's machine at this moment, in percent of
+  // the usual duration. It changes several times a second.
+  std::optional<unsigned> duration_percent;
 };
 
 enum class EndpointFailure {
--- a/Source/gateway/fleet_view.h
+++ b/Source/gateway/fleet_view.h
@@ -50,6 +50,12 @@
   std::string health_path;
   std::size_t max_connections = 0;
   bool sharded_by_key = false;
+  // How long an endpoint is cold after its start; 0: endpoints are never cold.
+  Milliseconds warm_up{0};
+  // Requests per second that a cold endpoint tolerates; 0: not limited.
+  double warm_up_per_second = 0;
+  // Why no request can be sent to the endpoints; empty if requests can be sent.
+  std::string unusable;
 
   bool operator==(const ServiceSpec&) const = default;
 };
@@ -71,6 +77,10 @@
   int rank = 0;  // 0 is the most urgent
   unsigned max_attempts = 1;
   std::vector<WeightedService> services;
+  // Regions whose endpoints may get the requests; empty: all regions.
+  std::vector<std::string> allowed_regions;
+  // Why the requests cannot be served safely; empty if they can be.
+  std::string unusable;
 
   bool operator==(const Route&) const = default;
 };
@@ -147,6 +157,13 @@
   double retry_ratio = 0.1;
   Milliseconds retry_window{10'000};
   double retry_slack = 0;  // retries per window beyond the ratio, fleet-wide
+  // Requests that a cold endpoint may get in any one second, from all gateways:
+  // ServiceSpec::warm_up_per_second * warm_up_overage + warm_up_slack.
+  double warm_up_overage = 1;
+  double warm_up_slack = 0;
+  // Time after which an evacuated data centre gets no requests; 0: the fleet
+  // has no evacuations.
+  Milliseconds evacuate{0};
 
   // Returns the distance to a data centre; an unknown one is in another region.
   Distance DistanceTo(const std::string& other) const;
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -54,6 +54,9 @@
 // Retry-After for callers that a starting gateway cannot serve, and wherever
 // the scheduler gives none.
 constexpr Milliseconds kDefaultRetryAfter{300};
+// Retry-After for a route or service that this version of the gateway cannot
+// serve: only another configuration helps.
+constexpr Milliseconds kUnusableRetryAfter{2'000};
 // A request whose deadline is below this share of the route's longest one is a
 // retry by the caller, which has spent the rest on earlier attempts.
 constexpr double kRetryDeadlineShare = 0.95;
@@ -280,6 +283,14 @@
   if (route == nullptr) {
     return refuse(404, ResultCode::kNotRunUnknownService, std::nullopt);
   }
+  if (!route->unusable.empty()) {
+    return refuse(503, ResultCode::kNotRunUnknownService, kUnusableRetryAfter);
+  }
+  const ServiceId& picked = split_.Pick(*route);
+  const ServiceSpec* const spec = routes_->Service(picked);
+  if (spec != nullptr && !spec->unusable.empty()) {
+    return refuse(503, ResultCode::kNotRunUnknownService, kUnusableRetryAfter);
+  }
 
   auto exchange = std::make_unique<Exchange>();
   exchange->id = ++last_id_;
@@ -287,7 +298,7 @@
   exchange->respond = std::move(respond);
   exchange->routes = routes_;
   exchange->route = route;
-  ServiceState& service = Service(split_.Pick(*route));
+  ServiceState& service = Service(picked);
   exchange->service = &service;
   const Milliseconds caller_timeout = caller.deadline.value_or(route->timeout);
   exchange->deadline = now + std::min(route->timeout, caller_timeout);
@@ -319,8 +330,8 @@
   job.not_before = now;
   job.key = caller.key;
   job.request_bytes = request.body.size();
+  job.allowed_regions = route->allowed_regions;
 
-  const ServiceSpec* const spec = routes_->Service(service.name);
   if (spec != nullptr && spec->sharded_by_key && caller.key) {
     auto& samples = key_samples_[service.name];
     if (samples.size() < kMaxKeySamples) samples.push_back(*caller.key);
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -129,6 +129,9 @@
                    const ConfigSource& source);
   // Returns false if the text is not a valid configuration.
   bool ApplyConfig(const std::string& text, const ConfigSource& source);
+  // Logs and counts the entries of the configuration in force that cannot be
+  // served.
+  void ReportUnusableEntries();
   void OnRegistryPage(const LogPage& page);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -23,6 +23,9 @@
 // for an unhealthy one.
 constexpr Milliseconds kGatewaysTimeout{500};
 
+// Entries of a configuration that are logged one by one.
+constexpr std::size_t kMaxLoggedEntries = 20;
+
 std::string FormatMicroseconds(SteadyTime::duration duration) {
   using std::chrono::microseconds;
   return std::to_string(
@@ -214,6 +217,7 @@
     if (IsShardedByKey(name)) ApplyTable(Keeper(name), "config");
   }
   metrics_.Set("config_version", "", static_cast<double>(version));
+  ReportUnusableEntries();
   RespondToLongPolls(true);
   LogInfo("config_in_force",
           {{"version", std::to_string(version)},
@@ -228,6 +232,26 @@
             FormatMicroseconds(std::chrono::steady_clock::now() - start)}});
 }
 
+// The number is bounded in the log, not in the metric.
+void Gateway::Impl::ReportUnusableEntries() {
+  std::size_t unusable = 0;
+  const auto report = [&](const char* entry, const std::string& name,
+                          const std::string& reason) {
+    if (reason.empty() || ++unusable > kMaxLoggedEntries) return;
+    LogEvent(EventLevel::kWarning, "config_entry_unusable",
+             static_cast<unsigned>(ResultCode::kConfigInvalid),
+             {{"entry", entry}, {"name", name}, {"detail", reason}});
+  };
+  const RoutingConfig& config = routes_->config();
+  for (const Route& route : config.routes) {
+    report("route", route.name, route.unusable);
+  }
+  for (const auto& [name, service] : config.services) {
+    report("service", name, service.unusable);
+  }
+  metrics_.Set("config_entries_unusable", "", static_cast<double>(unusable));
+}
+
 void Gateway::Impl::ReportStateAge(BootTime now) {
   for (const Log log : StoreProofs::kLogs) {
     const LogProof& proof = proofs_.Of(log);
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -38,7 +38,9 @@
   std::optional<ShardKey> key;
   std::size_t request_bytes = 0;
   std::vector<EndpointRef> tried;  // endpoints to exclude
-  bool admitted = false;           // has passed admission control
+  // Regions whose endpoints may get the job; empty: all regions.
+  std::vector<std::string> allowed_regions;
+  bool admitted = false;  // has passed admission control
 };
 
 enum class RejectReason {
--- a/Tests/UsersPlatform/odd_entries_test.cc
+++ b/Tests/UsersPlatform/odd_entries_test.cc
@@ -133,6 +133,9 @@
                                  "-1,0,2",
                                  "1,1",
                                  "1,1,2,3",
+                                 "1,1,2,10001",
+                                 "1,1,2,",
+                                 "1,1,2,100,7",
                                  "",
                                  ",,",
                                  "\xff"};
@@ -147,6 +150,30 @@
   BOOST_TEST(!response.load);
 }
 
+struct LoadCase {
+  std::string header;
+  std::optional<unsigned> duration_percent;
+};
+
+std::ostream& operator<<(std::ostream& out, const LoadCase& c) {
+  return out << c.header;
+}
+
+const LoadCase kLoads[] = {
+    {"3,1,6", std::nullopt}, {"3,1,6,100", 100U}, {"3,1,6,300", 300U}};
+
+// Guards against a fourth figure that hides the load of all endpoints.
+BOOST_DATA_TEST_CASE(load_of_an_endpoint_is_read, data::make(kLoads), load) {
+  const HttpDialect dialect;
+  const auto response = dialect.ReadBackendResponse(
+      {200, {{"X-Balsamhall-Server-Load", load.header}}, ""});
+  BOOST_REQUIRE(response.load);
+  BOOST_TEST(response.load->running == 3U);
+  BOOST_TEST(response.load->waiting == 1U);
+  BOOST_TEST(response.load->slots == 6U);
+  BOOST_TEST((response.load->duration_percent == load.duration_percent));
+}
+
 const std::string kOddHandovers[] = {"\xff\xfe", "a\x80"};
 
 // The grant with the handover was written as JSON, which fails for such bytes;
