Serve requests that callers send ahead while earlier ones are unanswered

A connection's next request was read only after the last response had been written, so requests that a caller sends ahead were served one after the other.

HttpServer reads further heads while requests are with the handler, up to max_requests_per_connection and max_pipelined_requests, and ResponseQueue puts the responses into the order of the requests. A request that the overtake filter does not allow, or that has a body, waits until all before it have been answered, and so do those behind it. The end of a connection is decided when its last request is read, or when a response is written with nothing behind it. The forwarder cancels all requests of a caller that leaves. Only the gateway's front server switches this on.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -340,7 +340,11 @@
   exchange->caller = std::move(caller);
   exchange->request = std::move(request);
   timers_->due.emplace(exchange->deadline, exchange->id, 0);
-  by_connection_[exchange->connection] = exchange->id;
+  by_connection_.emplace(exchange->connection, exchange->id);
+  if (exchange->request.pipelined) {
+    metrics_.Add("requests_pipelined_total", "service=\"" + service.name + "\"",
+                 1);
+  }
   Job submitted = job;
   exchanges_.emplace(exchange->id, std::move(exchange));
   ApplyDecisions(service, service.scheduler.Submit(std::move(submitted), now));
@@ -741,10 +745,11 @@
 void Forwarder::Erase(std::uint64_t id) {
   const auto found = exchanges_.find(id);
   if (found == exchanges_.end()) return;
-  const auto connection = by_connection_.find(found->second->connection);
-  if (connection != by_connection_.end() && connection->second == id) {
-    by_connection_.erase(connection);
-  }
+  const auto [first, last] =
+      by_connection_.equal_range(found->second->connection);
+  const auto connection = std::find_if(
+      first, last, [id](const auto& entry) { return entry.second == id; });
+  if (connection != last) by_connection_.erase(connection);
   timers_->due.erase({found->second->deadline, id, 0});
   exchanges_.erase(found);
 }
@@ -754,41 +759,62 @@
   std::exchange(exchange.client, nullptr)->Cancel(exchange.http_exchange);
 }
 
+bool Forwarder::MayOvertake(const HttpRequest& request) const {
+  if (!routes_) return true;
+  const Route* const route =
+      routes_->Match(dialect_.ReadCallerRequest(request).host, request.target);
+  return route == nullptr || !route->unusable.empty() || route->idempotent;
+}
+
 void Forwarder::OnCallerDisconnected(std::uint64_t connection) {
-  const auto found = by_connection_.find(connection);
-  if (found == by_connection_.end()) return;
-  Exchange* const exchange = Find(found->second);
-  if (exchange == nullptr) return;
+  const auto [first, last] = by_connection_.equal_range(connection);
+  std::vector<std::uint64_t> ids;
+  std::ranges::copy(std::ranges::subrange(first, last) | std::views::values,
+                    std::back_inserter(ids));
+  std::ranges::sort(ids);
   const auto now = Now();
+  // All are cancelled before a freed slot is given to another request, which
+  // could be one of them.
+  std::set<ServiceState*> services;
+  for (const std::uint64_t id : ids) {
+    Exchange* const exchange = Find(id);
+    if (exchange == nullptr || exchange->caller_left) continue;
+    services.insert(exchange->service);
+    OnCallerLeft(*exchange, now);
+  }
+  for (ServiceState* const service : services) {
+    ApplyDecisions(*service, service->scheduler.Advance(now));
+  }
+}
+
+void Forwarder::OnCallerLeft(Exchange& exchange, SteadyTime now) {
   log_.Write(
       RequestLog::Kind::kFailed, "caller_left",
       static_cast<unsigned>(ResultCode::kNotRunCancelled),
-      {{"request", exchange->caller.id},
-       {"route", exchange->route->name},
-       {"endpoint", exchange->endpoint.ref.id},
-       {"after", FormatDuration(ToMilliseconds(now - exchange->job.arrival))}},
+      {{"request", exchange.caller.id},
+       {"route", exchange.route->name},
+       {"endpoint", exchange.endpoint.ref.id},
+       {"after", FormatDuration(ToMilliseconds(now - exchange.job.arrival))}},
       now);
-  exchange->caller_left = true;
-  ServiceState& service = *exchange->service;
-  if (exchange->client != nullptr && !exchange->route->idempotent) return;
-  if (exchange->client != nullptr) {
-    service.scheduler.OnCancelled(exchange->id, exchange->endpoint.ref);
-    StopAttempt(*exchange);
-    exchange->may_have_run = true;
+  exchange.caller_left = true;
+  ServiceState& service = *exchange.service;
+  if (exchange.client != nullptr && !exchange.route->idempotent) return;
+  if (exchange.client != nullptr) {
+    service.scheduler.OnCancelled(exchange.id, exchange.endpoint.ref);
+    StopAttempt(exchange);
+    exchange.may_have_run = true;
   } else {
-    service.scheduler.Remove(exchange->id);
+    service.scheduler.Remove(exchange.id);
   }
-  if (const auto respond = std::exchange(exchange->respond, nullptr)) {
-    respond(exchange->may_have_run
-                ? dialect_.MakeErrorResponse(502, exchange->caller,
-                                             std::nullopt,
+  if (const auto respond = std::exchange(exchange.respond, nullptr)) {
+    respond(exchange.may_have_run
+                ? dialect_.MakeErrorResponse(502, exchange.caller, std::nullopt,
                                              ResultCode::kUnknownConnectionLost)
-                : dialect_.MakeErrorResponse(503, exchange->caller,
+                : dialect_.MakeErrorResponse(503, exchange.caller,
                                              kDefaultRetryAfter,
                                              ResultCode::kNotRunCancelled));
   }
-  Erase(exchange->id);
-  ApplyDecisions(service, service.scheduler.Advance(now));
+  Erase(exchange.id);
 }
 
 void Forwarder::OnDeadline(std::uint64_t id) {
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -46,6 +46,10 @@
   void OnRequest(HttpRequest request, HttpServer::Respond respond);
   void OnCallerDisconnected(std::uint64_t connection);
 
+  // Returns whether a request may run in any order with others of its caller's
+  // connection: it is idempotent, or never sent to an endpoint.
+  bool MayOvertake(const HttpRequest& request) const;
+
   // Applies a configuration to the requests that arrive from now on.
   void SetRoutes(std::shared_ptr<const RouteTable> routes);
   // Replaces the registered endpoints of all services. Draining ones get no new
@@ -146,6 +150,8 @@
   void OnDeadline(std::uint64_t id);
   void OnAttemptTimeout(std::uint64_t id, std::uint64_t attempt_id);
   void StopAttempt(Exchange& exchange);
+  // Cancels the request, unless it must not be repeated and is under way.
+  void OnCallerLeft(Exchange& exchange, SteadyTime now);
   void Erase(std::uint64_t id);
   void ScheduleTimer();
   void OnTimer();
@@ -172,7 +178,7 @@
       executed_keys_;
   std::vector<EndpointInfo> endpoints_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
-  std::unordered_map<std::uint64_t, std::uint64_t> by_connection_;
+  std::unordered_multimap<std::uint64_t, std::uint64_t> by_connection_;
   // Longest deadline that callers have sent, by route.
   std::unordered_map<std::string, Milliseconds> max_deadlines_;
   std::map<ServiceId, std::vector<ShardKey>> key_samples_;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -21,6 +21,11 @@
 // Time to send the responses to the aborted requests.
 constexpr Milliseconds kFinalResponseTime{200};
 constexpr std::size_t kMaxFrontConnections = 2'500;
+// Requests that callers may send ahead. A caller's connection that is served
+// with 16 at a time is not held up by requests of half a second each.
+constexpr std::size_t kMaxRequestsPerConnection = 16;
+// Each takes some kilobytes: a few megabytes of the smallest gateway's 160.
+constexpr std::size_t kMaxPipelinedRequests = 1'024;
 // Share of the process's memory for bodies of callers' requests.
 constexpr std::size_t kRequestsDivisor = 4;
 // High, because a body may arrive slowly as long as its caller's deadline
@@ -80,6 +85,8 @@
   options.transfer_timeout = kTransferTimeout;
   options.request_memory = request_memory_;
   options.response_memory = forwarder_.response_memory();
+  options.max_requests_per_connection = kMaxRequestsPerConnection;
+  options.max_pipelined_requests = kMaxPipelinedRequests;
   if (routes_) {
     const TrafficLimits& limits = routes_->config().limits;
     options.max_header_bytes = limits.max_header_bytes;
@@ -101,6 +108,9 @@
   front_server_->set_abort_handler([this](std::uint64_t connection) {
     forwarder_.OnCallerDisconnected(connection);
   });
+  front_server_->set_overtake_filter([this](const HttpRequest& request) {
+    return forwarder_.MayOvertake(request);
+  });
   front_server_->set_fault_handler(
       [this](ResultCode code, const std::string& detail) {
         metrics_.Add("front_faults_total", "", 1);
--- a/Source/net/http_server.cc
+++ b/Source/net/http_server.cc
@@ -11,6 +11,7 @@
 #include <unordered_set>
 
 #include "net/http_wire.h"
+#include "net/response_queue.h"
 
 namespace balsamhall {
 namespace {
@@ -24,6 +25,7 @@
 using Clock = std::chrono::steady_clock;
 using Timer =
     asio::basic_waitable_timer<Clock, asio::wait_traits<Clock>, Executor>;
+using SocketError = asio::detail::socket_option::integer<SOL_SOCKET, SO_ERROR>;
 using ReusePort =
     asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
@@ -45,6 +47,15 @@
 constexpr std::size_t kWatchBytes = 1024;
 // A request body is kept for further attempts, and sent from a copy.
 constexpr std::size_t kBodyCopies = 2;
+// A response counts as being read when so much of it, or all of it, has been
+// taken: a caller that takes a few bytes at a time holds no connection for
+// long.
+constexpr std::size_t kReadProgress = 64U << 10U;
+// A caller that has read less than this of its responses for so long is a slow
+// reader: its responses can be given up when memory is short.
+constexpr std::size_t kSlowReaderProgress = 16U << 10U;
+constexpr Milliseconds kSlowReaderTime{1'000};
+const std::string kSlowReaders = "slow readers";
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 HttpResponse FaultResponse(unsigned status, ResultCode code,
@@ -80,6 +91,7 @@
   AbortHandler abort_handler_;
   HeadFilter head_filter_;
   FaultHandler fault_handler_;
+  OvertakeFilter overtake_filter_;
   // Whether the limit lets one more connection be served.
   bool HasRoom() const {
     return sessions_.size() - surplus_ < options_.max_connections;
@@ -92,6 +104,7 @@
   std::unordered_set<std::shared_ptr<Session>> sessions_;
   std::size_t surplus_ = 0;  // of these, beyond the limit
   std::size_t active_ = 0;
+  std::size_t pipelined_ = 0;  // of these, with an unanswered one before
   bool draining_ = false;
   bool closing_ = false;
 
@@ -117,8 +130,10 @@
 };
 
 // One connection. Reads a request, waits for the handler's response, writes
-// it, and starts again. Deadlines are checked by the server's sweep, which
-// costs less than a timer per exchange.
+// it, and starts again. With pipelining, it reads the heads of further requests
+// meanwhile; one that may not overtake, or has a body, is parked until the
+// queue is empty. Deadlines are checked by the server's sweep, which costs less
+// than a timer per exchange.
 class HttpServer::Impl::Session
     : public std::enable_shared_from_this<HttpServer::Impl::Session> {
  public:
@@ -138,10 +153,21 @@
   void Close();
 
  private:
+  // The first three only while the queue is empty.
   enum class State { kIdle, kHead, kBody, kHandling, kWriting, kLinger };
 
   void StartReadHead();
+  // Reads the next head while requests are in the queue, if that is allowed;
+  // otherwise only notices the caller's leaving.
+  void ReadAhead();
+  bool MayReadAhead() const;
+  // Whether the request whose head was read may join those in the queue.
+  bool MayOvertake();
+  void OnRequestHead();
+  void Unpark();
+  void OnInputEnd();
   void WatchForClose();
+  void WatchForReset();
   void OnWatched(error_code error, std::size_t bytes);
   Clock::time_point Deadline() const;
   Milliseconds HeaderTimeout() const {
@@ -156,7 +182,11 @@
   // Takes memory for so many bytes of the request's body. Returns false, and
   // refuses the request, if there is none left.
   bool HoldRequestBody(std::size_t bytes);
-  void ReturnMemory();
+  void HoldResponse(std::size_t bytes);
+  // Notes how much of a response has been written so far.
+  void OnWriteProgress(std::size_t bytes);
+  void CheckSlowReader(Clock::time_point now);
+  void GiveUpResponses();
   void OnRequest();
   void OnReadError(error_code error);
   // Whether bytes have arrived that this session has not read.
@@ -166,9 +196,14 @@
   void EndIdle();
   void CloseUnlessRequested();
   void Refuse(unsigned status, ResultCode code, const std::string& detail);
-  void Write(HttpResponse response);
+  // Queues a response of the server itself to the request that is being read.
+  void Answer(HttpResponse response);
+  // Writes the next response if it is there.
+  void WriteNext();
   void OnWritten(error_code error);
   void Linger();
+  // Closes, and reports the requests that are with the handler.
+  void Abort();
   void Enter(State state) {
     state_ = state;
     entered_ = Clock::now();
@@ -182,23 +217,35 @@
   bool surplus_;
   boost::beast::flat_buffer buffer_;
   std::optional<http::request_parser<http::string_body>> parser_;
-  std::string head_;
-  std::string body_;
-  // Where the bodies are counted; options may be replaced meanwhile.
-  std::shared_ptr<BodyMemory> request_memory_;
+  ResponseQueue queue_;
+  HeldBytes body_memory_;  // of the request that is being read
+  // Where the responses are counted; options may be replaced meanwhile.
   std::shared_ptr<BodyMemory> response_memory_;
-  std::size_t request_bytes_ = 0;
-  std::size_t response_bytes_ = 0;
+  UnfinishedBody held_responses_;
+  bool given_up_ = false;
   State state_ = State::kIdle;
   Clock::time_point entered_;
   std::uint64_t exchange_ = 0;
+  // Of the response that is being written.
+  std::size_t written_ = 0;
+  std::size_t written_at_progress_ = 0;  // since entered_
+  // Of all responses, for noticing slow readers.
+  std::uint64_t total_written_ = 0;
+  std::uint64_t total_at_progress_ = 0;
+  Clock::time_point progress_;
+  bool reading_head_ = false;
   // A read that notices the caller's leaving is under way. Its bytes belong to
   // the next request.
   bool watching_ = false;
+  bool watching_reset_ = false;
   bool read_head_next_ = false;
-  bool keep_alive_ = true;
+  bool unpark_next_ = false;
+  // The parser holds the head of a request that waits for an empty queue.
+  bool parked_ = false;
+  bool input_ended_ = false;
+  // Nothing behind the requests in the queue, and the parked one, is read.
+  bool final_ = false;
   bool skip_body_ = false;
-  bool active_ = false;
   // The wait for a request was cancelled, and its handler has not run yet.
   bool ending_idle_ = false;
   // The deadline of this state has passed, but there was unread input.
@@ -226,7 +273,8 @@
 }
 
 void HttpServer::Impl::Session::WatchForClose() {
-  if (watching_ || buffer_.size() > 0) return;
+  if (watching_) return;
+  if (buffer_.size() > 0) return WatchForReset();
   watching_ = true;
   socket_.async_read_some(
       buffer_.prepare(kWatchBytes),
@@ -235,6 +283,24 @@
       });
 }
 
+// With bytes of further requests unread, the end of the caller's sending side
+// stays unnoticed, but not a reset.
+void HttpServer::Impl::Session::WatchForReset() {
+  if (watching_reset_ || server_->options_.max_requests_per_connection <= 1) {
+    return;
+  }
+  watching_reset_ = true;
+  socket_.async_wait(Socket::wait_error,
+                     [self = shared_from_this()](error_code error) {
+                       if (!self->socket_.is_open()) return;
+                       self->watching_reset_ = false;
+                       if (error) return;
+                       SocketError socket_error;
+                       self->socket_.get_option(socket_error, error);
+                       if (!error && socket_error.value() != 0) self->Abort();
+                     });
+}
+
 void HttpServer::Impl::Session::OnWatched(error_code error, std::size_t bytes) {
   watching_ = false;
   if (!socket_.is_open()) return;
@@ -243,26 +309,40 @@
     read_head_next_ = false;
     return CloseUnlessRequested();
   }
+  if (!error) buffer_.commit(bytes);
+  if (std::exchange(unpark_next_, false)) {
+    if (error == asio::error::eof) input_ended_ = true;
+    if (error && !input_ended_ && error != asio::error::operation_aborted) {
+      return Close();
+    }
+    return OnRequestHead();
+  }
   if (error) {
-    const bool handling = state_ == State::kHandling;
     // A caller that has only ended its sending side still reads.
     const bool writable =
-        error == asio::error::eof && (handling || state_ == State::kWriting);
-    keep_alive_ = false;
-    if (!writable) Close();
-    if (handling && server_->abort_handler_) server_->abort_handler_(number_);
-    return;
+        error == asio::error::eof &&
+        (state_ == State::kHandling || state_ == State::kWriting);
+    return writable ? OnInputEnd() : Abort();
   }
-  buffer_.commit(bytes);
   if (state_ == State::kLinger) return Linger();
   if (read_head_next_) {
     read_head_next_ = false;
-    StartReadHead();
+    return StartReadHead();
+  }
+  if (server_->options_.max_requests_per_connection > 1) ReadAhead();
+}
+
+void HttpServer::Impl::Session::OnInputEnd() {
+  input_ended_ = true;
+  final_ = true;
+  if (queue_.unanswered() > 0 && server_->abort_handler_) {
+    server_->abort_handler_(number_);
   }
 }
 
 void HttpServer::Impl::Session::ReadHead() {
   Enter(State::kIdle);
+  if (reading_head_) return;
   if (watching_) {
     read_head_next_ = true;
     return;
@@ -270,7 +350,28 @@
   StartReadHead();
 }
 
+void HttpServer::Impl::Session::ReadAhead() {
+  if (!socket_.is_open() || queue_.empty() || reading_head_ || skip_body_ ||
+      state_ == State::kLinger) {
+    return;
+  }
+  if (MayReadAhead()) {
+    if (!watching_) StartReadHead();
+  } else if (queue_.unanswered() > 0 && server_->abort_handler_ &&
+             !input_ended_) {
+    WatchForClose();
+  }
+}
+
+bool HttpServer::Impl::Session::MayReadAhead() const {
+  const HttpServerOptions& options = server_->options_;
+  return queue_.size() < options.max_requests_per_connection && !parked_ &&
+         !final_ && !server_->draining_ && !server_->closing_ &&
+         queue_.response_bytes() <= options.max_response_bytes_per_connection;
+}
+
 void HttpServer::Impl::Session::StartReadHead() {
+  reading_head_ = true;
   buffer_.max_size(std::max(buffer_.size(), server_->options_.max_header_bytes +
                                                 http_wire::kMaxUnparsedBytes));
   parser_.emplace();
@@ -302,26 +403,56 @@
 }
 
 void HttpServer::Impl::Session::OnHead(error_code error) {
+  reading_head_ = false;
   if (!socket_.is_open()) return;
   const bool ending_idle = std::exchange(ending_idle_, false);
   if (error == asio::error::operation_aborted && ending_idle) {
     return CloseUnlessRequested();
   }
+  if (state_ == State::kLinger) return error ? Close() : Linger();
   if (error) return OnReadError(error);
+  // The end of the connection was announced while this was being read.
+  if (final_) return ReadAhead();
   if (!IsWithinLimit()) {
     return Refuse(503, ResultCode::kNotRunRouterOverloaded,
                   "too many connections");
   }
-  keep_alive_ = parser_->get().keep_alive();
+  if (!queue_.empty() && !MayOvertake()) {
+    parked_ = true;
+    return ReadAhead();
+  }
+  OnRequestHead();
+}
+
+bool HttpServer::Impl::Session::MayOvertake() {
+  return parser_->is_done() && queue_.MayOvertake() &&
+         server_->pipelined_ < server_->options_.max_pipelined_requests &&
+         !(response_memory_ && response_memory_->IsFull()) &&
+         server_->overtake_filter_ && server_->overtake_filter_(TakeHead());
+}
+
+void HttpServer::Impl::Session::Unpark() {
+  state_ = State::kHandling;
+  if (!watching_) return OnRequestHead();
+  // Only the handler of the cancelled read knows whether it has read anything.
+  unpark_next_ = true;
+  error_code ignored;
+  socket_.cancel(ignored);
+}
+
+void HttpServer::Impl::Session::OnRequestHead() {
+  parked_ = false;
+  final_ = input_ended_ || !parser_->get().keep_alive() || server_->draining_ ||
+           server_->closing_;
   if (server_->head_filter_) {
     if (auto response = server_->head_filter_(TakeHead())) {
       skip_body_ = !parser_->is_done();
       const auto length = parser_->content_length();
       if (skip_body_ && (!length || *length > kMaxSkippedBody)) {
         skip_body_ = false;
-        keep_alive_ = false;
+        final_ = true;
       }
-      return Write(std::move(*response));
+      return Answer(std::move(*response));
     }
   }
   if (parser_->is_done()) return OnRequest();
@@ -364,54 +495,101 @@
 }
 
 bool HttpServer::Impl::Session::HoldRequestBody(std::size_t bytes) {
-  const std::size_t held = bytes * kBodyCopies;
-  if (request_bytes_ == 0) request_memory_ = server_->options_.request_memory;
-  if (!request_memory_ || held <= request_bytes_) return true;
-  if (!request_memory_->Take(held - request_bytes_, request_bytes_)) {
-    Refuse(503, ResultCode::kNotRunRouterOverloaded,
-           "no memory for the request body");
-    return false;
+  if (body_memory_.GrowTo(bytes * kBodyCopies,
+                          server_->options_.request_memory)) {
+    return true;
+  }
+  Refuse(503, ResultCode::kNotRunRouterOverloaded,
+         "no memory for the request body");
+  return false;
+}
+
+void HttpServer::Impl::Session::HoldResponse(std::size_t bytes) {
+  const bool first = held_responses_.bytes == 0;
+  if (first) response_memory_ = server_->options_.response_memory;
+  if (!response_memory_) return;
+  response_memory_->TakeAnyway(held_responses_, bytes);
+  if (!first) return;
+  progress_ = Clock::now();
+  total_at_progress_ = total_written_;
+}
+
+void HttpServer::Impl::Session::OnWriteProgress(std::size_t bytes) {
+  total_written_ += bytes - written_;
+  written_ = bytes;
+  if (written_ - written_at_progress_ < kReadProgress) return;
+  written_at_progress_ = written_;
+  entered_ = Clock::now();
+}
+
+void HttpServer::Impl::Session::CheckSlowReader(Clock::time_point now) {
+  if (held_responses_.bytes == 0 || !response_memory_) return;
+  if (total_written_ - total_at_progress_ >= kSlowReaderProgress) {
+    total_at_progress_ = total_written_;
+    progress_ = now;
+    response_memory_->set_can_be_given_up(held_responses_, false);
+  } else if (now - progress_ >= kSlowReaderTime) {
+    if (!held_responses_.give_up) {
+      held_responses_.source = kSlowReaders;
+      held_responses_.give_up = [this] { GiveUpResponses(); };
+    }
+    response_memory_->set_can_be_given_up(held_responses_, true);
   }
-  request_bytes_ = held;
-  return true;
 }
 
-void HttpServer::Impl::Session::ReturnMemory() {
-  if (request_memory_) {
-    request_memory_->Return(std::exchange(request_bytes_, 0));
-  }
-  if (response_memory_) {
-    response_memory_->Return(std::exchange(response_bytes_, 0));
-  }
+// Runs while another response takes memory, so the rest waits until it has.
+void HttpServer::Impl::Session::GiveUpResponses() {
+  response_memory_->Release(held_responses_);
+  given_up_ = true;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (!self->socket_.is_open()) return;
+    self->server_->Fault(ResultCode::kUnknownConnectionLost,
+                         "unread responses given up for memory");
+    self->Abort();
+  });
 }
 
 void HttpServer::Impl::Session::OnRequest() {
   HttpRequest request = TakeHead();
   request.body = std::move(parser_->get().body());
-  state_ = State::kHandling;
-  active_ = true;
+  request.pipelined = !queue_.empty();
+  const std::uint64_t exchange = ++exchange_;
+  const bool pipelining = server_->options_.max_requests_per_connection > 1;
+  queue_.Add({exchange,
+              pipelining && server_->overtake_filter_ &&
+                  server_->overtake_filter_(request),
+              request.pipelined, true, request.method == "HEAD",
+              std::move(body_memory_)});
+  if (request.pipelined) ++server_->pipelined_;
+  if (state_ != State::kWriting) state_ = State::kHandling;
   ++server_->active_;
-  server_->handler_(std::move(request),
-                    [self = shared_from_this(),
-                     exchange = ++exchange_](HttpResponse response) {
-                      self->Respond(exchange, std::move(response));
-                    });
-  if (state_ == State::kHandling && server_->abort_handler_) WatchForClose();
+  server_->handler_(std::move(request), [self = shared_from_this(),
+                                         exchange](HttpResponse response) {
+    self->Respond(exchange, std::move(response));
+  });
+  if (input_ended_) OnInputEnd();
+  ReadAhead();
 }
 
 void HttpServer::Impl::Session::Respond(std::uint64_t exchange,
                                         HttpResponse response) {
-  if (exchange != exchange_ || state_ != State::kHandling) return;
-  if (!socket_.is_open()) return;
-  Write(std::move(response));
+  if (!socket_.is_open() || given_up_) return;
+  const std::size_t bytes = response.body.size();
+  if (!queue_.SetResponse(exchange, std::move(response))) return;
+  HoldResponse(bytes);
+  if (state_ != State::kWriting) WriteNext();
 }
 
 void HttpServer::Impl::Session::OnReadError(error_code error) {
+  if (!queue_.empty() && error == http::error::end_of_stream) {
+    return OnInputEnd();
+  }
   if (error == http::error::end_of_stream ||
       error == asio::error::operation_aborted ||
       error == asio::error::connection_reset) {
-    return Close();
+    return Abort();
   }
+  if (final_ && !queue_.empty()) return;
   if (error == http::error::body_limit || error == http::error::header_limit ||
       error == http::error::buffer_overflow) {
     const bool body = error == http::error::body_limit;
@@ -420,52 +598,82 @@
   }
   Refuse(400, ResultCode::kNotRunBadRequest,
          "malformed request: " + error.message());
+  if (error == http::error::partial_message) OnInputEnd();
 }
 
 void HttpServer::Impl::Session::Refuse(unsigned status, ResultCode code,
                                        const std::string& detail) {
   server_->Fault(code, detail);
-  keep_alive_ = false;
+  final_ = true;
   skip_body_ = false;
   parser_.reset();  // with what it holds of the body
-  Write(FaultResponse(status, code, detail));
-}
-
-void HttpServer::Impl::Session::Write(HttpResponse response) {
-  const auto declared = FindHeader(response.headers, "Content-Length");
-  keep_alive_ =
-      keep_alive_ && !server_->draining_ && !server_->closing_ &&
-      (declared.empty() || declared == std::to_string(response.body.size()));
-  head_ = http_wire::ResponseHead(response, keep_alive_);
-  ReturnMemory();
-  body_ = std::move(response.body);
-  response_memory_ = server_->options_.response_memory;
-  if (response_memory_) {
-    response_bytes_ = body_.size();
-    response_memory_->TakeAnyway(response_bytes_);
-  }
+  body_memory_ = HeldBytes();
+  Answer(FaultResponse(status, code, detail));
+}
+
+void HttpServer::Impl::Session::Answer(HttpResponse response) {
+  ResponseQueue::Request request;
+  request.number = ++exchange_;
+  request.may_be_overtaken = true;
+  request.head_only = parser_ && parser_->get().method() == http::verb::head;
+  queue_.Add(std::move(request));
+  Respond(exchange_, std::move(response));
+  ReadAhead();
+}
+
+void HttpServer::Impl::Session::WriteNext() {
+  ResponseQueue::Entry* const next = queue_.Next();
+  if (next == nullptr) return;
+  HttpResponse& response = next->response;
+  // Requests behind this one have perhaps run, so the connection ends only
+  // after theirs.
+  const bool last = queue_.size() == 1 && !parked_;
+  if (last) {
+    final_ = final_ || server_->draining_ || server_->closing_ ||
+             DeclaresOtherLength(response);
+  } else {
+    FixLength(response, next->request.head_only);
+  }
+  next->head = http_wire::ResponseHead(response, !(last && final_));
   Enter(State::kWriting);
-  const std::array<asio::const_buffer, 2> buffers = {asio::buffer(head_),
-                                                     asio::buffer(body_)};
+  written_ = 0;
+  written_at_progress_ = 0;
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(next->head), asio::buffer(response.body)};
   asio::async_write(
       socket_, buffers,
+      [self = shared_from_this()](const error_code& error, std::size_t bytes) {
+        self->OnWriteProgress(bytes);
+        return asio::transfer_all()(error, bytes);
+      },
       [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
         self->OnWritten(error);
       });
 }
 
 void HttpServer::Impl::Session::OnWritten(error_code error) {
-  if (active_) {
-    active_ = false;
-    --server_->active_;
-  }
-  std::string().swap(body_);  // frees it on idle connections too
-  ReturnMemory();
   if (!socket_.is_open()) return;
-  if (error) return Close();
-  if (!keep_alive_) return Linger();
+  const std::size_t before = queue_.response_bytes();
+  const ResponseQueue::Request request = queue_.PopFront();
+  if (request.with_handler) --server_->active_;
+  if (request.pipelined) --server_->pipelined_;
+  if (given_up_) return;
+  if (response_memory_) {
+    response_memory_->ReturnPart(held_responses_,
+                                 before - queue_.response_bytes());
+    // Its readers are no slow ones.
+    if (!error) {
+      response_memory_->set_can_be_given_up(held_responses_, false);
+      progress_ = Clock::now();
+    }
+  }
+  if (error) return Abort();
+  if (queue_.empty() && !parked_ && final_) return Linger();
   if (skip_body_) return ReadBody();
-  ReadHead();
+  if (queue_.empty()) return parked_ ? Unpark() : ReadHead();
+  Enter(State::kHandling);
+  WriteNext();
+  ReadAhead();
 }
 
 void HttpServer::Impl::Session::Linger() {
@@ -474,7 +682,7 @@
     error_code ignored;
     socket_.shutdown(Socket::shutdown_send, ignored);
   }
-  if (watching_) return;
+  if (watching_ || reading_head_) return;
   buffer_.clear();
   socket_.async_read_some(
       buffer_.prepare(4096),
@@ -505,6 +713,7 @@
 
 void HttpServer::Impl::Session::CheckDeadline(Clock::time_point now,
                                               bool grace_over) {
+  CheckSlowReader(now);
   if (state_ == State::kIdle && buffer_.size() > 0) {
     Enter(State::kHead);  // a part of the header has arrived
   }
@@ -533,15 +742,24 @@
     default:
       break;
   }
+  Abort();
+}
+
+void HttpServer::Impl::Session::Abort() {
+  const bool with_handler = queue_.unanswered() > 0;
   Close();
+  if (with_handler && server_->abort_handler_) {
+    server_->abort_handler_(number_);
+  }
 }
 
 void HttpServer::Impl::Session::Close() {
-  if (active_) {
-    active_ = false;
-    --server_->active_;
-  }
-  ReturnMemory();
+  if (!socket_.is_open()) return;
+  server_->active_ -= queue_.with_handler();
+  server_->pipelined_ -= queue_.pipelined();
+  body_memory_ = HeldBytes();
+  queue_.ReturnBodyMemory();
+  if (response_memory_) response_memory_->Release(held_responses_);
   error_code ignored;
   socket_.close(ignored);
   if (std::exchange(surplus_, false)) --server_->surplus_;
@@ -692,6 +910,10 @@
   impl_->abort_handler_ = std::move(handler);
 }
 
+void HttpServer::set_overtake_filter(OvertakeFilter filter) {
+  impl_->overtake_filter_ = std::move(filter);
+}
+
 void HttpServer::set_options(HttpServerOptions options) {
   impl_->options_ = std::move(options);
   impl_->ResumeAccept();
@@ -713,4 +935,6 @@
 
 std::size_t HttpServer::active_requests() const { return impl_->active_; }
 
+std::size_t HttpServer::pipelined_requests() const { return impl_->pipelined_; }
+
 }  // namespace balsamhall
--- a/Source/net/http_server.h
+++ b/Source/net/http_server.h
@@ -31,12 +31,24 @@
   // Time for the rest of a header after its first byte; without it
   // transfer_timeout.
   std::optional<Milliseconds> header_timeout;
-  // A caller that sends or reads slower than this is disconnected.
+  // A caller that takes longer than this to send a request, or to read a
+  // response or 64 KB of it, is disconnected.
   Milliseconds transfer_timeout{10'000};
+  // Requests of a connection that are read before the first of them has its
+  // response written (pipelining). 1: the next one is read after that.
+  std::size_t max_requests_per_connection = 1;
+  // Requests of all connections that are with the handler although an earlier
+  // one of their connection is unanswered. Further ones wait for the earlier
+  // ones of their connection.
+  std::size_t max_pipelined_requests = 1024;
+  // A connection whose responses hold more than this is not read.
+  std::size_t max_response_bytes_per_connection = 512U << 10U;
   // Limits the request bodies until they are answered; a request that finds no
   // room is refused with 503. None if empty.
   std::shared_ptr<BodyMemory> request_memory;
-  // Holds the response bodies that are being written. None if empty.
+  // Holds the response bodies that are being written or wait for their turn.
+  // For others, it can give up those of a caller that hardly reads; that
+  // connection is closed. None if empty.
   std::shared_ptr<BodyMemory> response_memory;
   bool reuse_port = false;  // several loops may listen on one address
 };
@@ -53,10 +65,14 @@
       std::function<std::optional<HttpResponse>(const HttpRequest&)>;
   // Called when a request is answered by the server itself or is malformed.
   using FaultHandler = std::function<void(ResultCode, const std::string&)>;
+  // Returns whether a request may be with the handler together with others of
+  // its connection, so that they may run in any order. The body is empty if the
+  // request is behind another.
+  using OvertakeFilter = std::function<bool(const HttpRequest&)>;
   // Called with HttpRequest::connection when the caller ends its sending side
-  // or resets the connection while its request is with the handler. The former
-  // is all that shows when it has left, but it may still read: the handler must
-  // respond, and soon, because this holds the connection.
+  // or the connection ends while requests of it are with the handler. The
+  // former is all that shows when the caller has left, but it may still read:
+  // the handler must respond, and soon, because this holds the connection.
   using AbortHandler = std::function<void(std::uint64_t connection)>;
 
   HttpServer(boost::asio::io_context& loop, HttpServerOptions options,
@@ -68,6 +84,9 @@
   void set_head_filter(HeadFilter filter);
   void set_fault_handler(FaultHandler handler);
   void set_abort_handler(AbortHandler handler);
+  // Without one, no request is with the handler together with another of its
+  // connection.
+  void set_overtake_filter(OvertakeFilter filter);
 
   // Replaces the limits; open connections follow from their next request on,
   // the idle time-out at once. reuse_port has no effect after Listen.
@@ -87,6 +106,8 @@
   // Open connections within the limit.
   std::size_t connections() const;
   std::size_t active_requests() const;
+  // Requests within max_pipelined_requests at this moment.
+  std::size_t pipelined_requests() const;
 
  private:
   class Impl;
--- a/Source/net/http_types.h
+++ b/Source/net/http_types.h
@@ -21,6 +21,8 @@
   HttpHeaders headers;
   std::string body;
   std::uint64_t connection = 0;  // number of the server's connection
+  // Read while an earlier request of the connection was unanswered.
+  bool pipelined = false;
 };
 
 struct HttpResponse {
