Limit requests to the allowed regions and keep them out of evacuated data centres

Change: PlacementLimits judges the data centre of an endpoint for a job. The scheduler asks it for first attempts, retries, waiting jobs and alternatives, and rejects a job at once that no endpoint may get, or whose key has its owner in another region (outside_regions, evacuated). Held keys of an evacuated data centre are served until the time for the evacuation is nearly over. A newer configuration can only narrow the regions of requests in progress. Ejections are ignored by the share of the endpoints that a job may use, not of all. The state that gateways exchange can hold the evacuated set.

--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -98,6 +98,8 @@
 ResultCode CodeOf(RejectReason reason) {
   switch (reason) {
     case RejectReason::kNoEndpoint:
+    case RejectReason::kOutsideRegions:
+    case RejectReason::kEvacuated:
     case RejectReason::kNoLease:
       return ResultCode::kNotRunNoOwner;
     case RejectReason::kEndpointFailing:
@@ -194,6 +196,7 @@
             std::hash<std::string>{}(settings_.id + name)),
         settings_.retry_slack / static_cast<double>(count));
     state->name = name;
+    state->scheduler.SetEvacuated(evacuated_);
   }
   return *state;
 }
@@ -215,9 +218,47 @@
       service.scheduler.SetLeases(nullptr, Now());
     }
   }
+  NarrowRegions();
   SetEndpoints(endpoints_);
 }
 
+void Forwarder::NarrowRegions() {
+  std::map<ServiceState*,
+           std::unordered_map<std::uint64_t, std::vector<std::string>>>
+      narrowed;
+  for (const auto& exchange : exchanges_ | std::views::values) {
+    const Route* const route =
+        routes_->Match(exchange->caller.host, exchange->request.target);
+    // A request without a route any more ends under that of its arrival. What
+    // an unusable route allows is not known.
+    if (route == nullptr) continue;
+    std::vector<std::string>& regions = exchange->job.allowed_regions;
+    auto common = route->unusable.empty()
+                      ? CommonRegions(regions, route->allowed_regions)
+                      : NoRegions();
+    if (common == regions) continue;
+    regions = std::move(common);
+    narrowed[exchange->service].emplace(exchange->id, regions);
+  }
+  for (const auto& [service, regions] : narrowed) {
+    service->scheduler.SetAllowedRegions(regions);
+    LogEvent(EventLevel::kInfo, "regions_narrowed", 0,
+             {{"service", service->name},
+              {"requests", std::to_string(regions.size())},
+              {"config", std::to_string(routes_->config().version)}});
+  }
+}
+
+void Forwarder::SetEvacuated(
+    const std::map<std::string, SteadyTime>& keys_until) {
+  evacuated_ = keys_until;
+  const auto now = Now();
+  for (auto& service : services_ | std::views::values) {
+    service->scheduler.SetEvacuated(keys_until);
+    ApplyDecisions(*service, service->scheduler.Advance(now));
+  }
+}
+
 void Forwarder::SetEndpoints(const std::vector<EndpointInfo>& endpoints) {
   endpoints_ = endpoints;
   const auto now = Now();
@@ -670,6 +711,10 @@
     return FinishWithoutResponse(
         exchange, std::string(RejectReasonName(rejection.reason)));
   }
+  metrics_.Add("rejections_total",
+               "service=\"" + exchange.service->name + "\",reason=\"" +
+                   std::string(RejectReasonName(rejection.reason)) + "\"",
+               1);
   const ResultCode code = CodeOf(rejection.reason);
   exchange.history += std::string(RejectReasonName(rejection.reason)) +
                       " wait " + FormatDuration(rejection.expected_wait) +
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -51,6 +51,8 @@
   // Replaces the registered endpoints of all services. Draining ones get no new
   // requests.
   void SetEndpoints(const std::vector<EndpointInfo>& endpoints);
+  // Replaces the evacuated data centres; see PlacementLimits::SetEvacuated.
+  void SetEvacuated(const std::map<std::string, SteadyTime>& keys_until);
   // Replaces the lease table of a service that is sharded by key.
   void SetLeases(std::shared_ptr<const LeaseTable> leases);
   // Sets the number of gateways that share the retry budget. 0 is ignored.
@@ -117,6 +119,9 @@
   using AttemptOutcome = HttpClient::Outcome;
 
   ServiceState& Service(const ServiceId& name);
+  // Restricts the requests in progress to the regions that the configuration
+  // in force allows as well.
+  void NarrowRegions();
   HttpClient& ClientOf(const EndpointInfo& endpoint);
   void ApplyDecisions(ServiceState& service, const Decisions& decisions);
   void Send(Exchange& exchange, const Placement& placement);
@@ -171,6 +176,7 @@
            std::map<std::uint64_t, std::vector<ShardKey>>>
       executed_keys_;
   std::vector<EndpointInfo> endpoints_;
+  std::map<std::string, SteadyTime> evacuated_;
   std::unordered_map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
   std::unordered_map<std::uint64_t, std::uint64_t> by_connection_;
   // Longest deadline that callers have sent, by route.
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -12,6 +12,7 @@
 #include "core/result_code.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
+#include "gateway/placement_limits.h"
 #include "gateway/store_proofs.h"
 #include "gateway/text_patch.h"
 
@@ -21,6 +22,10 @@
 // gateway has. One that is much older than that of the other gateway is
 // responded to at once.
 inline constexpr const char* kStateAgeHeader = "Balsamhall-State-Age-Ms";
+// Header of a request: EvacuationsDigest() of the evacuations that the
+// requesting gateway knows, or 0 if it knows none yet. Absent if it has no
+// evacuations.
+inline constexpr const char* kEvacuationsHeader = "Balsamhall-Evacuations";
 
 // What the requesting gateway already has.
 struct PeerStateRequest {
@@ -61,6 +66,8 @@
   std::optional<std::map<EndpointId, EndpointInfo>> endpoints;
   std::vector<LeaseTable> tables;  // newer than the request's leases_end
   std::uint64_t leases_end = 0;
+  // Empty from gateways that know none yet, and of earlier versions.
+  std::optional<EvacuatedSet> evacuations;
   // Time since the log was known to end there; at most a day when parsed.
   Milliseconds leases_age{0};
 };
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -107,6 +107,10 @@
   switch (reason) {
     case RejectReason::kNoEndpoint:
       return "no_endpoint";
+    case RejectReason::kOutsideRegions:
+      return "outside_regions";
+    case RejectReason::kEvacuated:
+      return "evacuated";
     case RejectReason::kNoLease:
       return "no_lease";
     case RejectReason::kEndpointFailing:
@@ -129,7 +133,9 @@
   std::unordered_map<const EndpointLoad*, int> queued;
   int queued_total = 0;
   double completions_per_second = 0;
-  bool ignore_ejections = false;
+  // By the regions of the job.
+  std::map<std::vector<std::string>, bool> ignore_ejections;
+  bool may_ignore_ejections = false;
   std::vector<Job> still_waiting;
 };
 
@@ -282,12 +288,10 @@
   });
   Pass pass;
   pass.now = now;
-  std::size_t ejected = 0;
   for (auto& load : loads_ | std::views::values) {
     pass.completions_per_second += load->completions().PerSecond(now);
-    if (load->Ejected(now)) ++ejected;
   }
-  pass.ignore_ejections = !sharded_ && ejected * 2 > loads_.size();
+  pass.may_ignore_ejections = !sharded_;
   UpdateUrgentMode();
   std::vector<Job> jobs = std::exchange(waiting_, {});
   for (Job& job : jobs) ScheduleJob(job, pass);
@@ -337,14 +341,71 @@
   for (EndpointLoad* const load : endpoints) load->set_pooled_load(pool);
 }
 
+void Scheduler::SetAllowedRegions(
+    const std::unordered_map<std::uint64_t, std::vector<std::string>>&
+        regions) {
+  for (Job& job : waiting_) {
+    const auto found = regions.find(job.id);
+    if (found != regions.end()) job.allowed_regions = found->second;
+  }
+}
+
+std::optional<RejectReason> Scheduler::OutsideLimits(const Job& job) const {
+  if (!limits_.Restrict(job.allowed_regions)) return std::nullopt;
+  using Verdict = PlacementLimits::Verdict;
+  // Without any endpoint, keys may still get an owner in the regions.
+  bool evacuated = false;
+  const bool allowed =
+      std::ranges::any_of(loads_ | std::views::values, [&](const auto& load) {
+        const Verdict verdict =
+            limits_.Check(job.allowed_regions, load->info().data_centre);
+        evacuated = evacuated || verdict == Verdict::kEvacuated;
+        return verdict == Verdict::kAllowed;
+      });
+  if (!allowed && evacuated) return RejectReason::kEvacuated;
+  if (!allowed && !job.allowed_regions.empty()) {
+    return RejectReason::kOutsideRegions;
+  }
+  if (!sharded_ || !job.key || leases_ == nullptr) return std::nullopt;
+  const RangeLease* const lease = leases_->Find(*job.key);
+  const auto owner =
+      lease == nullptr ? loads_.end() : loads_.find(lease->owner.ref);
+  if (owner != loads_.end() &&
+      !limits_.InRegions(job.allowed_regions,
+                         owner->second->info().data_centre)) {
+    return RejectReason::kOutsideRegions;
+  }
+  return std::nullopt;
+}
+
+bool Scheduler::IgnoresEjections(const Job& job, Pass& pass) const {
+  if (!pass.may_ignore_ejections) return false;
+  const auto [found, added] =
+      pass.ignore_ejections.try_emplace(job.allowed_regions);
+  if (!added) return found->second;
+  std::size_t usable = 0;
+  std::size_t ejected = 0;
+  for (const auto& load : loads_ | std::views::values) {
+    if (!limits_.Allows(job.allowed_regions, load->info().data_centre)) {
+      continue;
+    }
+    ++usable;
+    if (load->Ejected(pass.now)) ++ejected;
+  }
+  return found->second = ejected * 2 > usable;
+}
+
 std::optional<RejectReason> Scheduler::KeyUnavailable(
     const Job& job, SteadyTime now, Milliseconds& wait) const {
   wait = Milliseconds(0);
   if (!sharded_ || !job.key) return std::nullopt;
   const RangeLease* const lease =
       leases_ == nullptr ? nullptr : leases_->Find(*job.key);
-  if (lease == nullptr || !loads_.contains(lease->owner.ref) ||
-      !notices_.ServesHeldKeys(lease->owner.ref, now)) {
+  const auto owner =
+      lease == nullptr ? loads_.end() : loads_.find(lease->owner.ref);
+  if (owner == loads_.end() ||
+      !notices_.ServesHeldKeys(lease->owner.ref, now) ||
+      !limits_.ServesHeldKeys(owner->second->info().data_centre, now)) {
     wait = kDefaultUnavailableWait;
     return RejectReason::kNoLease;
   }
@@ -378,6 +439,9 @@
       late ? remaining_ms * kLateWaitShare : ToMs(job.target - pass.now);
   if (remaining_ms <= 0) return reject(RejectReason::kTooLate, Milliseconds(0));
 
+  if (const auto reason = OutsideLimits(job)) {
+    return reject(*reason, kDefaultUnavailableWait);
+  }
   Milliseconds key_wait;
   if (const auto reason = KeyUnavailable(job, pass.now, key_wait)) {
     const double service_ms =
@@ -433,14 +497,17 @@
 }
 
 bool Scheduler::IsEligible(const Job& job, const EndpointLoad& endpoint,
-                           const Pass& pass) const {
+                           Pass& pass) const {
   if (std::ranges::find(job.tried, endpoint.info().ref) != job.tried.end()) {
     return false;
   }
+  if (!limits_.Allows(job.allowed_regions, endpoint.info().data_centre)) {
+    return false;
+  }
   const EndpointRef& ref = endpoint.info().ref;
   if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
   if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
-  return pass.ignore_ejections || !endpoint.Ejected(pass.now);
+  return !endpoint.Ejected(pass.now) || IgnoresEjections(job, pass);
 }
 
 Rejection Scheduler::RejectionWithoutCandidate(const Job& job,
@@ -452,7 +519,10 @@
     for (const auto& load : loads_ | std::views::values) {
       const EndpointRef& ref = load->info().ref;
       const bool tried = std::ranges::find(job.tried, ref) != job.tried.end();
-      if (!tried && !notices_.Leaving(ref)) left.push_back(load.get());
+      if (!tried && !notices_.Leaving(ref) &&
+          limits_.Allows(job.allowed_regions, load->info().data_centre)) {
+        left.push_back(load.get());
+      }
     }
   }
   Milliseconds pause = Milliseconds::max();
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -21,6 +21,7 @@
 #include "gateway/endpoint_speeds.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
+#include "gateway/placement_limits.h"
 
 namespace balsamhall::gateway {
 
@@ -45,6 +46,8 @@
 
 enum class RejectReason {
   kNoEndpoint,       // none is registered, or none is left to try
+  kOutsideRegions,   // none in the regions that the request may reach
+  kEvacuated,        // all in these regions are in evacuated data centres
   kNoLease,          // no endpoint currently holds a lease for the key
   kEndpointFailing,  // the endpoint that holds the key is ejected
   kEndpointsPaused,  // all that are left asked for no requests for a time
@@ -134,6 +137,17 @@
   // nullptr: no lease is known yet.
   void SetLeases(const LeaseTable* leases, SteadyTime now);
 
+  // Replaces the evacuated data centres; see PlacementLimits::SetEvacuated.
+  // Takes effect on waiting jobs at the next Advance.
+  void SetEvacuated(std::map<std::string, SteadyTime> keys_until) {
+    limits_.SetEvacuated(std::move(keys_until));
+  }
+
+  // Replaces the allowed regions of waiting jobs, by job.
+  void SetAllowedRegions(
+      const std::unordered_map<std::uint64_t, std::vector<std::string>>&
+          regions);
+
   // Places, queues or rejects a new or retried job. The result also contains
   // decisions on waiting jobs.
   Decisions Submit(Job job, SteadyTime now);
@@ -185,6 +199,12 @@
   struct Pass;
 
   Decisions ScheduleWaitingJobs(SteadyTime now);
+  // Returns the reason if no endpoint may ever get the job, or if the key's
+  // owner is in a region that it must not reach.
+  std::optional<RejectReason> OutsideLimits(const Job& job) const;
+  // Returns whether so many of the endpoints that the job may use are ejected
+  // that ejections are ignored.
+  bool IgnoresEjections(const Job& job, Pass& pass) const;
   void ScheduleJob(Job& job, Pass& pass);
   std::optional<RejectReason> KeyUnavailable(const Job& job, SteadyTime now,
                                              Milliseconds& wait) const;
@@ -201,7 +221,7 @@
                  std::span<EndpointLoad* const> endpoints);
   Candidate Evaluate(const Job& job, EndpointLoad& endpoint, Pass& pass) const;
   bool IsEligible(const Job& job, const EndpointLoad& endpoint,
-                  const Pass& pass) const;
+                  Pass& pass) const;
   // Rejects a job for which there is no candidate.
   Rejection RejectionWithoutCandidate(const Job& job, const Pass& pass);
   Milliseconds RetryAfter(const Job& job, Milliseconds wait, SteadyTime now);
@@ -209,6 +229,7 @@
 
   const GatewaySettings& settings_;
   const EndpointNotices& notices_;
+  PlacementLimits limits_{settings_};
   const Options options_;
   // By data centre, and whether the endpoints reserve a slot for urgent work.
   std::map<std::pair<std::string, bool>, PooledLoad> pooled_loads_;
