Learn evacuations from the store and from other gateways

Cause: records under evacuate/ZONE in the operator's log were not read, so an evacuated data centre kept its requests and its keys.

Change: a gateway that reads the store applies the evacuations of a page of the operator's log before its configuration. Endpoints there get no keys from the planner. Only where the setting `evacuate` is above zero; without it, messages and decisions are as before.

--- a/Source/gateway/gateway.h
+++ b/Source/gateway/gateway.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "core/result_code.h"
@@ -24,6 +25,11 @@
   std::function<Result<EndpointInfo>(const std::string& id,
                                      const std::string& text)>
       endpoint;
+  // Returns the data centre whose evacuation a record of the configuration's
+  // log with this key requests; nullopt for any other key. Empty function: no
+  // key does.
+  std::function<std::optional<std::string>(const std::string& key)>
+      evacuated_data_centre = {};
 };
 
 // Runs on one event loop; not thread-safe.
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -27,6 +27,7 @@
 #include "gateway/lease_keeper.h"
 #include "gateway/loop_watch.h"
 #include "gateway/peer_state.h"
+#include "gateway/placement_limits.h"
 #include "gateway/rejected_records.h"
 #include "gateway/store_follower.h"
 #include "gateway/store_proofs.h"
@@ -114,6 +115,16 @@
   // current.
   void OnStoreAnswers();
   void OnConfigPage(const LogPage& page, BootTime as_of);
+  bool HasEvacuations() const {
+    return settings_.evacuate > Milliseconds(0) &&
+           parsers_.evacuated_data_centre != nullptr;
+  }
+  // Applies the evacuations that a page of the operator's log begins and ends.
+  // Returns whether there are any.
+  bool OnEvacuationRecords(const LogPage& page, BootTime as_of);
+  // Returns whether there are changes. source: for the log.
+  bool ApplyEvacuations(const std::vector<Evacuations::Change>& changes,
+                        const char* source);
   struct ParsedConfig {
     RoutingConfig config;
     SteadyTime::duration parsed_in;
@@ -208,6 +219,7 @@
   // Returns whether the proofs of this gateway are so much later than those of
   // the requesting one that a response is worth it without any change.
   bool HasLaterProof(const LongPoll& poll) const;
+  bool LacksEvacuations(const HttpRequest& request) const;
   // Sets the gauges of the age of this gateway's state.
   void ReportStateAge(BootTime now);
   bool ReadsStore() const;
@@ -228,6 +240,8 @@
   void FollowReader();
   void OnFollowResult(const GatewayInstance& reader,
                       const HttpClient::Outcome& outcome, BootTime as_of);
+  // Offset from which this gateway has to read the operator's log.
+  std::uint64_t ConfigReadOffset() const;
   void ReadDirectly(std::string_view reason);
   void RespondToLongPolls(bool all);
   HttpResponse OnPeerTable(const std::string& service, std::uint64_t version,
@@ -259,6 +273,7 @@
   std::map<ServiceId, EndpointSpeeds> endpoint_speeds_;
   std::map<ServiceId, std::uint64_t> applied_versions_;
   ConfigHistory configs_;
+  Evacuations evacuations_;
   // Offsets up to which the logs were read, by this gateway or its reader.
   std::uint64_t config_offset_ = 0;
   std::uint64_t registry_offset_ = 0;
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -50,7 +50,8 @@
   std::vector<EligibleEndpoint> endpoints;
   for (const auto& endpoint : LiveEndpoints()) {
     if (endpoint.service != service || endpoint.draining ||
-        notices_.Leaving(endpoint.ref)) {
+        notices_.Leaving(endpoint.ref) ||
+        evacuations_.Contains(endpoint.data_centre)) {
       continue;
     }
     const auto learned = capacities.find(endpoint.ref);
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -84,6 +84,11 @@
   const BootTime now = BootClock::now();
   const LogProof config =
       ProofFrom(state.config_age.value_or(ProofAge{}), sent, now);
+  // First, as in OnConfigPage.
+  const bool evacuations_changed =
+      HasEvacuations() && state.evacuations &&
+      ApplyEvacuations(evacuations_.OnPeerSet(*state.evacuations, config.as_of),
+                       "peer");
   if (ApplyPeerConfig(state, config)) {
     proofs_.Extend(Log::kOperatorConfig, config);
   }
@@ -98,7 +103,7 @@
   for (auto& keeper : keepers_ | std::views::values) {
     keeper->OnLogEnd(state.leases_end, sent - state.leases_age);
   }
-  RespondToLongPolls(false);
+  RespondToLongPolls(evacuations_changed);
 }
 
 bool Gateway::Impl::ApplyPeerConfig(const PeerState& state,
@@ -128,6 +133,12 @@
       kStateAgeHeader, std::to_string(std::chrono::ceil<Milliseconds>(
                                           BootClock::now() - StateAsOf())
                                           .count()));
+  if (HasEvacuations()) {
+    const auto known = evacuations_.known();
+    request.headers.emplace_back(
+        kEvacuationsHeader,
+        std::to_string(known ? EvacuationsDigest(known->data_centres) : 0));
+  }
   return request;
 }
 
@@ -277,13 +288,20 @@
   RunAfter(follow_timer_, kFollowPause, [this] { FollowReader(); });
 }
 
+// A gateway of an earlier version delivers configurations without the
+// evacuations that the log has before them.
+std::uint64_t Gateway::Impl::ConfigReadOffset() const {
+  return HasEvacuations() ? std::min(config_offset_, evacuations_.offset())
+                          : config_offset_;
+}
+
 void Gateway::Impl::ReadDirectly(std::string_view reason) {
   if (std::exchange(reads_store_, true)) return;
   LogInfo("reading_directly",
           {{"before", reader_}, {"reason", std::string(reason)}});
   reader_.clear();
   without_reader_since_.reset();
-  config_follower_->Resume(config_offset_);
+  config_follower_->Resume(ConfigReadOffset());
   // A list of another gateway may have endpoints whose removal was deferred.
   if (registry_read_) {
     registry_follower_->Resume(registry_offset_);
@@ -353,6 +371,9 @@
   state.config_age = AgeAt(proofs_.Of(Log::kOperatorConfig), poll.arrived);
   state.registry_age = AgeAt(proofs_.Of(Log::kEndpointRegistry), poll.arrived);
   state.config_arriving = store_.IsReceiving(Log::kOperatorConfig);
+  if (state.store_reachable && HasEvacuations()) {
+    state.evacuations = evacuations_.known();
+  }
   state.registry_offset = registry_offset_;
   if (state.store_reachable &&
       EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
@@ -410,6 +431,15 @@
   return {204, {}, ""};
 }
 
+// Returns whether the requesting gateway knows other evacuations than this one.
+bool Gateway::Impl::LacksEvacuations(const HttpRequest& request) const {
+  const auto digest =
+      ParseUnsigned(FindHeader(request.headers, kEvacuationsHeader));
+  const auto known = evacuations_.known();
+  return HasEvacuations() && digest && known &&
+         *digest != EvacuationsDigest(known->data_centres);
+}
+
 void Gateway::Impl::OnPeerStateRequest(const PeerStateRequest& query,
                                        const HttpRequest& request,
                                        const HttpServer::Respond& respond) {
@@ -423,12 +453,13 @@
         Milliseconds(static_cast<std::int64_t>(std::min(*age, limit)));
   }
   const bool known = registry_.loaded() && routes_ != nullptr;
-  const bool due = store_lost_ || !reader_.empty() || stopping_ ||
-                   (known && (HasLaterProof(poll) ||
-                              MakePeerStateQuery(false) !=
-                                  PeerStateRequest{query.config_version,
-                                                   query.endpoints_digest,
-                                                   query.leases_end, false}));
+  const bool due =
+      store_lost_ || !reader_.empty() || stopping_ ||
+      (known &&
+       (HasLaterProof(poll) || LacksEvacuations(request) ||
+        MakePeerStateQuery(false) !=
+            PeerStateRequest{query.config_version, query.endpoints_digest,
+                             query.leases_end, false}));
   if (!query.long_poll || due) return respond(MakePeerStateResponse(poll));
   long_polls_.push_back(std::move(poll));
 }
--- a/Source/gateway/gateway_state_search.cc
+++ b/Source/gateway/gateway_state_search.cc
@@ -116,7 +116,7 @@
 void Gateway::Impl::ProbeStore(BootTime now) {
   if (now < peer_search_.next_probe) return;
   peer_search_.next_probe = now + kProbeInterval;
-  config_follower_->ReadNow(config_offset_);
+  config_follower_->ReadNow(ConfigReadOffset());
 }
 
 void Gateway::Impl::OnStoreAnswers() {
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -150,6 +150,9 @@
 
 void Gateway::Impl::OnConfigPage(const LogPage& page, BootTime as_of) {
   const LoopWatch::Step step(loop_watch_, "config");
+  // First, so that no configuration or endpoint that it brings into use gets
+  // requests in an evacuated data centre.
+  const bool evacuations_changed = OnEvacuationRecords(page, as_of);
   // Only the newest version is applied. It need not be the last one.
   std::optional<ParsedConfig> newest;
   const std::string* text = nullptr;
@@ -173,6 +176,57 @@
   }
   if (newest) ApplyConfig(std::move(*newest), *text, {"store", {as_of, 0}});
   if (last_is_valid) config_offset_ = std::max(config_offset_, page.next);
+  // Not sooner, because the answers have the configuration of the page, too.
+  if (evacuations_changed) RespondToLongPolls(true);
+}
+
+bool Gateway::Impl::OnEvacuationRecords(const LogPage& page, BootTime as_of) {
+  if (!HasEvacuations()) return false;
+  std::vector<Evacuations::Record> records;
+  for (const KeyedRecord& record : page.records) {
+    if (auto data_centre = parsers_.evacuated_data_centre(record.key)) {
+      records.push_back({std::move(*data_centre),
+                         record.value && !record.value->empty(),
+                         record.offset});
+    }
+  }
+  // A value that cannot be read is a value nevertheless.
+  for (const UnreadableRecord& record : page.rejected) {
+    if (auto data_centre = parsers_.evacuated_data_centre(record.key)) {
+      records.push_back({std::move(*data_centre), true, page.next});
+    }
+  }
+  const bool complete = page.next >= page.log_end;
+  return ApplyEvacuations(
+      evacuations_.OnPage(records, page.next, page.is_snapshot,
+                          complete ? std::optional(as_of) : std::nullopt),
+      "store");
+}
+
+bool Gateway::Impl::ApplyEvacuations(
+    const std::vector<Evacuations::Change>& changes, const char* source) {
+  if (changes.empty()) return false;
+  const auto keys_until =
+      KeysUntil(evacuations_, settings_.evacuate, BootClock::now(),
+                std::chrono::steady_clock::now());
+  for (const Evacuations::Change& change : changes) {
+    const auto endpoints =
+        std::ranges::count(registry_.endpoints() | std::views::values,
+                           change.data_centre, &EndpointInfo::data_centre);
+    LogInfo(change.begun ? "evacuation_begun" : "evacuation_ended",
+            {{"data_centre", change.data_centre},
+             {"source", source},
+             {"offset", std::to_string(evacuations_.offset())},
+             {"endpoints", std::to_string(endpoints)}});
+    metrics_.Set("data_centre_evacuated",
+                 "data_centre=\"" + change.data_centre + "\"",
+                 change.begun ? 1 : 0);
+  }
+  metrics_.Add("evacuation_changes_total", "",
+               static_cast<double>(changes.size()));
+  forwarder_.SetEvacuated(keys_until);
+  ApplyEndpoints();
+  return true;
 }
 
 std::optional<Gateway::Impl::ParsedConfig> Gateway::Impl::ParseConfig(
--- a/Tests/Gateway/decisions_test.cc
+++ b/Tests/Gateway/decisions_test.cc
@@ -404,6 +404,7 @@
   state.leases_end = 4;
   state.leases_age = Ms(120);
   state.config_age = ProofAge{Ms(-900), 1};
+  state.evacuations = EvacuatedSet{{"a", "b"}, 7};
   const auto parsed = ParsePeerState(SerializePeerState(state));
   BOOST_REQUIRE(parsed);
   BOOST_TEST(parsed.value().config == "text");
@@ -412,6 +413,7 @@
   BOOST_TEST((parsed.value().leases_age == Ms(120)));
   BOOST_TEST((parsed.value().config_age == state.config_age));
   BOOST_TEST(!parsed.value().registry_age);
+  BOOST_TEST((parsed.value().evacuations == state.evacuations));
 }
 
 const std::string kMalformedRequests[] = {"/state/1/2", "/state/1/2/3/4",
--- a/Tests/UsersFleet/fleet_fixture.h
+++ b/Tests/UsersFleet/fleet_fixture.h
@@ -23,7 +23,8 @@
                 store_address.empty() ? fixture.store_address : store_address,
                 Milliseconds(1'000)),
           process(fixture.loop, settings, store, fixture.dialect,
-                  {kConfigKey, OperatorConfigParser(), ParseRegistryEntry}),
+                  {kConfigKey, OperatorConfigParser(), ParseRegistryEntry,
+                   EvacuatedDataCentre}),
           peer(fixture.loop, settings.peer_address, HttpClientOptions{}) {}
 
     static gateway::GatewaySettings SettingsIn(FleetFixture& fixture,
--- a/Tests/UsersPlatform/gateway_fixture.h
+++ b/Tests/UsersPlatform/gateway_fixture.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <functional>
 #include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -96,11 +97,14 @@
 }
 
 struct GatewayFixture {
-  // more_entries: further ones of the registry, by endpoint id.
+  // more_entries: further ones of the registry, by endpoint id. adjust: changes
+  // the settings of the gateway.
   explicit GatewayFixture(
-      const std::map<std::string, std::string>& more_entries = {}) {
+      const std::map<std::string, std::string>& more_entries = {},
+      const std::function<void(gateway::GatewaySettings&)>& adjust = {}) {
     store_address = store.Listen();
-    const auto settings = Settings(addresses, "gateway-1", store_address);
+    auto settings = Settings(addresses, "gateway-1", store_address);
+    if (adjust) adjust(settings);
     front_address = settings.front_address;
     peer_address = settings.peer_address;
     metrics_address = settings.metrics_address;
@@ -120,7 +124,7 @@
     under_test = std::make_unique<gateway::Gateway>(
         loop, settings, *store_client, dialect,
         gateway::RecordParsers{kConfigKey, OperatorConfigParser(),
-                               ParseRegistryEntry});
+                               ParseRegistryEntry, EvacuatedDataCentre});
     BOOST_REQUIRE(under_test->Start());
     front = std::make_unique<HttpClient>(loop, settings.front_address,
                                          HttpClientOptions{});
