Give cold endpoints no keys while warm ones can hold them

A cold endpoint tolerates only a few requests a second. The planner now takes from each endpoint whether it is cold: such an endpoint gets no keys unless all are cold, keeps those that it has, and counts in the fair shares only if it has some. Callers that state no cold endpoint get the same plans as before.

--- a/Source/gateway/range_planner.cc
+++ b/Source/gateway/range_planner.cc
@@ -56,9 +56,15 @@
           std::span<const double> sums)
       : endpoints_(endpoints), prefix_sums_(sums), load_(endpoints.size(), 0) {
     AddPieces(table);
-    const double capacity = std::accumulate(
-        endpoints.begin(), endpoints.end(), 0.0,
-        [](double sum, const auto& e) { return sum + e.capacity; });
+    const bool all_cold =
+        std::ranges::all_of(endpoints, &EligibleEndpoint::cold);
+    // A cold endpoint without keys takes no part of the load.
+    double capacity = 0;
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      const bool takes_keys = all_cold || !endpoints[i].cold;
+      if (takes_keys) targets_.push_back(i);
+      if (takes_keys || load_[i] > 0) capacity += endpoints[i].capacity;
+    }
     for (const auto& endpoint : endpoints) {
       fair_load_.push_back(sums.back() * endpoint.capacity / capacity);
     }
@@ -128,9 +134,8 @@
   }
 
   std::size_t LeastLoaded() const {
-    const auto indices = std::views::iota(std::size_t{0}, endpoints_.size());
     return *std::ranges::min_element(
-        indices, std::less{},
+        targets_, std::less{},
         [this](std::size_t i) { return RelativeLoad(i); });
   }
 
@@ -266,6 +271,7 @@
   const std::vector<EligibleEndpoint>& endpoints_;
   std::span<const double> prefix_sums_;
   std::vector<Piece> pieces_;
+  std::vector<std::size_t> targets_;  // endpoints that may get keys
   std::vector<double> load_;
   std::vector<double> fair_load_;
   std::vector<RangeMove> moves_;
--- a/Source/gateway/range_planner.h
+++ b/Source/gateway/range_planner.h
@@ -35,6 +35,7 @@
 struct EligibleEndpoint {
   LeaseHolder holder;
   double capacity = 1;  // slots divided by slowness
+  bool cold = false;    // tolerates only few requests for now
 };
 
 struct RangeMove {
@@ -54,7 +55,8 @@
 
 // Returns the moves that give every key an owner among the endpoints, followed
 // by at most max_moves moves that take load off the busiest ones. Ranges that
-// are not granted are not moved.
+// are not granted are not moved. A cold endpoint keeps its keys, but gets none
+// unless all endpoints are cold.
 //
 // Load pattern: the hot keys are close together and change within seconds.
 // Ranges are split by measured load, so a hot range is divided among several
