Limit the requests that a cold endpoint gets from all gateways

A re-read registry entry restarted the warm-up at the gateway, and one that turned cold without restarting was not noticed.

Now a few gateways are designated for each cold endpoint, by rendezvous hashing over the list of gateways, the endpoint's own data centre first. Together they may send half of the bound in any 1.1 s. A gateway uses only a list that was read within 20 s, and a designation only after 21 s. A request counts until it has an outcome. Requests for other endpoints go there; those for a key of a cold owner wait within their latency budget or get 503 with a Retry-After. Only services with warm_up_per_second are affected.

--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -123,6 +123,13 @@
   // where a probe request would be pointless.
   bool Replaced(SteadyTime now) const { return now < replaced_until_; }
 
+  // Returns true while the endpoint is warming up.
+  bool Cold(SteadyTime now) const { return now < warm_at_; }
+  Milliseconds WarmUpLeft(SteadyTime now) const {
+    return Cold(now) ? std::chrono::ceil<Milliseconds>(warm_at_ - now)
+                     : Milliseconds(0);
+  }
+
   const EndpointInfo& info() const { return info_; }
   int in_flight() const { return static_cast<int>(in_flight_requests_.size()); }
   RateMeter& completions() { return completions_; }
--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -9,6 +9,9 @@
 // According to the users, lapsed entries return about two seconds after the
 // store; the rest covers the poll interval.
 constexpr Milliseconds kRemovalGrace{2'200};
+// An entry that puts the end of the warm-up off by no more than this was
+// delayed on its way; one that puts it off by more states another warm-up.
+constexpr Milliseconds kWarmUpTolerance{1'000};
 
 bool SameExceptDrain(const EndpointInfo& a, const EndpointInfo& b) {
   return a.ref == b.ref && a.service == b.service && a.address == b.address &&
@@ -41,6 +44,7 @@
     const EndpointId& id, std::optional<EndpointInfo> entry, SteadyTime now) {
   if (!entry) return Remove(id, now, false);
   deferred_.erase(id);
+  const bool turned_cold = RecordWarmUp(*entry, now);
   const auto [position, added] = endpoints_.try_emplace(id, *entry);
   if (added) return Change{Change::Kind::kAdded, *entry};
   const EndpointInfo before = std::exchange(position->second, *entry);
@@ -52,9 +56,35 @@
         entry->draining ? Change::Kind::kDraining : Change::Kind::kChanged,
         *entry};
   }
+  if (turned_cold) return Change{Change::Kind::kCold, *entry};
   return std::nullopt;
 }
 
+bool EndpointRegistry::RecordWarmUp(const EndpointInfo& entry, SteadyTime now) {
+  WarmUp& warm_up = warm_ups_[entry.ref.id];
+  // Only the first sight of an entry says when it was true.
+  if (entry.entry_version != 0 &&
+      warm_up.entry_version == entry.entry_version &&
+      warm_up.ref == entry.ref && warm_up.stated == entry.warm_up_left) {
+    return false;
+  }
+  const SteadyTime warm_at = now + entry.warm_up_left;
+  const bool turned_cold =
+      entry.warm_up_left > Milliseconds(0) &&
+      (warm_up.warm_at <= now || warm_at > warm_up.warm_at + kWarmUpTolerance);
+  warm_up = {entry.ref, entry.entry_version, entry.warm_up_left, warm_at};
+  return turned_cold;
+}
+
+Milliseconds EndpointRegistry::WarmUpLeft(const EndpointId& id,
+                                          SteadyTime now) const {
+  const auto found = warm_ups_.find(id);
+  if (found == warm_ups_.end() || found->second.warm_at <= now) {
+    return Milliseconds(0);
+  }
+  return std::chrono::ceil<Milliseconds>(found->second.warm_at - now);
+}
+
 std::optional<EndpointRegistry::Change> EndpointRegistry::Remove(
     const EndpointId& id, SteadyTime now, bool confirmed) {
   const auto found = endpoints_.find(id);
@@ -68,6 +98,7 @@
   }
   Change change{Change::Kind::kRemoved, found->second};
   endpoints_.erase(found);
+  warm_ups_.erase(id);
   deferred_.erase(id);
   return change;
 }
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -35,7 +35,14 @@
 class EndpointRegistry {
  public:
   struct Change {
-    enum class Kind { kAdded, kChanged, kDraining, kRemoved, kRemovalDeferred };
+    enum class Kind {
+      kAdded,
+      kChanged,
+      kDraining,
+      kCold,  // an endpoint that was known has turned cold
+      kRemoved,
+      kRemovalDeferred
+    };
     Kind kind = Kind::kAdded;
     EndpointInfo endpoint;
   };
@@ -64,15 +71,28 @@
   const std::map<EndpointId, EndpointInfo>& endpoints() const {
     return endpoints_;
   }
+  // Returns the remaining warm-up time of an endpoint: what its newest entry
+  // stated, less the time since that entry was first seen. 0 if it is warm or
+  // not registered.
+  Milliseconds WarmUpLeft(const EndpointId& id, SteadyTime now) const;
   // Returns true after the first listing.
   bool loaded() const { return loaded_; }
 
  private:
+  struct WarmUp {
+    EndpointRef ref;
+    std::uint64_t entry_version = 0;
+    Milliseconds stated{0};
+    SteadyTime warm_at;
+  };
+  // Returns true if the entry shows that its endpoint has turned cold.
+  bool RecordWarmUp(const EndpointInfo& entry, SteadyTime now);
   bool DefersRemovals(SteadyTime now) const;
   std::optional<Change> Remove(const EndpointId& id, SteadyTime now,
                                bool confirmed);
 
   std::map<EndpointId, EndpointInfo> endpoints_;
+  std::map<EndpointId, WarmUp> warm_ups_;
   std::map<EndpointId, SteadyTime> deferred_;  // due times of removals
   bool store_lost_ = false;
   std::optional<SteadyTime> store_regained_at_;
--- a/Source/gateway/fleet_view.h
+++ b/Source/gateway/fleet_view.h
@@ -43,6 +43,9 @@
   unsigned slots = 1;
   bool draining = false;
   Milliseconds warm_up_left{0};  // remaining warm-up time
+  // Offset of its entry in the registry plus one; 0: not known. Tells an entry
+  // that is read again from one that states the same warm-up time anew.
+  std::uint64_t entry_version = 0;
 };
 
 struct ServiceSpec {
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -67,6 +67,9 @@
 constexpr std::size_t kMaxKeySamples = 4'000;
 // Maximum number of executed keys that are kept for a connection.
 constexpr std::size_t kMaxExecutedKeys = 512;
+// Endpoints of a service that are logged one by one when they turn cold or
+// warm within a second.
+constexpr std::size_t kMaxColdLines = 30;
 
 constexpr unsigned kRequestTimeout = 408;
 constexpr unsigned kMisdirectedRequest = 421;
@@ -104,6 +107,7 @@
       return ResultCode::kNotRunNoConnection;
     case RejectReason::kOverload:
     case RejectReason::kEndpointsPaused:
+    case RejectReason::kEndpointCold:
       return ResultCode::kNotRunQueueFull;
     case RejectReason::kTooLate:
       break;
@@ -127,6 +131,8 @@
   Scheduler scheduler;
   RetryWindow retries;
   std::shared_ptr<const LeaseTable> leases;
+  unsigned cold_budget = 0;    // of requests to a cold endpoint; 0: no limit
+  std::set<EndpointRef> cold;  // as reported last
 };
 
 struct Forwarder::Exchange {
@@ -173,6 +179,7 @@
       dialect_(dialect),
       notices_(notices),
       metrics_(metrics),
+      cold_start_gateways_(settings.id),
       response_memory_(std::make_shared<BodyMemory>(settings.memory_bytes /
                                                     kResponsesDivisor)),
       timers_(std::make_unique<Timers>(loop)) {}
@@ -207,6 +214,30 @@
   }
 }
 
+void Forwarder::SetGateways(const std::vector<GatewayPlace>& gateways,
+                            std::optional<SteadyTime> as_of) {
+  if (as_of && !gateways.empty()) {
+    cold_start_gateways_.SetList(gateways, *as_of, Now());
+  }
+  SetGatewayCount(gateways.size());
+}
+
+bool Forwarder::LimitsColdEndpoints(const ServiceId& service) const {
+  const auto found = services_.find(service);
+  return found != services_.end() && found->second->cold_budget > 0;
+}
+
+void Forwarder::LimitColdEndpoints(ServiceState& service) {
+  const ServiceSpec* const spec = routes_->Service(service.name);
+  const double bound =
+      spec == nullptr || spec->warm_up_per_second <= 0
+          ? 0
+          : spec->warm_up_per_second * settings_.warm_up_overage +
+                settings_.warm_up_slack;
+  service.cold_budget = ColdStartBudget(bound);
+  service.scheduler.SetColdLimit(&cold_start_gateways_, service.cold_budget);
+}
+
 void Forwarder::SetRoutes(std::shared_ptr<const RouteTable> routes) {
   routes_ = std::move(routes);
   for (const auto& [name, spec] : routes_->config().services) {
@@ -215,6 +246,9 @@
       service.scheduler.SetLeases(nullptr, Now());
     }
   }
+  for (auto& service : services_ | std::views::values) {
+    LimitColdEndpoints(*service);
+  }
   SetEndpoints(endpoints_);
 }
 
@@ -670,6 +704,10 @@
     return FinishWithoutResponse(
         exchange, std::string(RejectReasonName(rejection.reason)));
   }
+  if (rejection.reason == RejectReason::kEndpointCold) {
+    metrics_.Add("cold_endpoint_rejections_total",
+                 "service=\"" + exchange.service->name + "\"", 1);
+  }
   const ResultCode code = CodeOf(rejection.reason);
   exchange.history += std::string(RejectReasonName(rejection.reason)) +
                       " wait " + FormatDuration(rejection.expected_wait) +
@@ -916,8 +954,35 @@
   return found->second->scheduler.Capacities(Now());
 }
 
+void Forwarder::ReportColdEndpoints(ServiceState& service, SteadyTime now) {
+  const std::set<EndpointRef> cold = service.scheduler.ColdEndpoints(now);
+  if (cold == service.cold) return;
+  std::size_t lines = 0;
+  const auto report = [&](const char* event, const std::set<EndpointRef>& from,
+                          const std::set<EndpointRef>& without) {
+    for (const EndpointRef& endpoint : from) {
+      if (without.contains(endpoint) || ++lines > kMaxColdLines) continue;
+      LogEvent(EventLevel::kInfo, event, 0,
+               {{"endpoint", endpoint.ToString()},
+                {"service", service.name},
+                {"share",
+                 std::to_string(service.scheduler.ColdShare(endpoint, now))},
+                {"budget", std::to_string(service.cold_budget)},
+                {"cold", std::to_string(cold.size())}});
+    }
+  };
+  report("endpoint_cold", cold, service.cold);
+  report("endpoint_warm", service.cold, cold);
+  service.cold = cold;
+  metrics_.Set("endpoints_cold", "service=\"" + service.name + "\"",
+               static_cast<double>(cold.size()));
+}
+
 void Forwarder::Clean() {
   notices_.Clean(Now());
+  for (auto& service : services_ | std::views::values) {
+    ReportColdEndpoints(*service, Now());
+  }
   std::erase_if(newest_responded_, [this](const auto& entry) {
     return std::ranges::none_of(endpoints_, [&](const auto& endpoint) {
       return endpoint.ref == entry.first;
--- a/Source/gateway/forwarder.h
+++ b/Source/gateway/forwarder.h
@@ -7,12 +7,14 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
 
 #include "core/result_code.h"
 #include "gateway/backend_dialect.h"
+#include "gateway/cold_start.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/request_log.h"
 #include "gateway/retry_window.h"
@@ -53,8 +55,12 @@
   void SetEndpoints(const std::vector<EndpointInfo>& endpoints);
   // Replaces the lease table of a service that is sharded by key.
   void SetLeases(std::shared_ptr<const LeaseTable> leases);
-  // Sets the number of gateways that share the retry budget. 0 is ignored.
-  void SetGatewayCount(std::size_t count);
+  // Sets the gateways, which share the retry budget and the requests to cold
+  // endpoints, as of a time at which the list was complete. An empty list is
+  // ignored. Without as_of, the list may be incomplete, and the one before
+  // continues to determine which gateways send to cold endpoints.
+  void SetGateways(const std::vector<GatewayPlace>& gateways,
+                   std::optional<SteadyTime> as_of);
 
   // Sets a handler that is called when an endpoint responds that it does not
   // hold a key that the lease table assigns to it.
@@ -106,8 +112,13 @@
   // have run as such.
   void AbortAll();
 
+  // Returns whether requests to endpoints of the service are limited while they
+  // are cold.
+  bool LimitsColdEndpoints(const ServiceId& service) const;
+
   // Closes connections that have been idle too long, and clients of removed
-  // endpoints. Call it about once per second.
+  // endpoints, and reports which endpoints are cold. Call it about once per
+  // second.
   void Clean();
 
  private:
@@ -124,6 +135,10 @@
                  AttemptOutcome outcome);
   void OnResponse(Exchange& exchange, HttpResponse response,
                   std::uint64_t connection);
+  void SetGatewayCount(std::size_t count);
+  // Passes the bound on requests to cold endpoints to the scheduler.
+  void LimitColdEndpoints(ServiceState& service);
+  void ReportColdEndpoints(ServiceState& service, SteadyTime now);
   void RecordNotices(const Exchange& exchange,
                      const BackendResponse& backend_response, SteadyTime now);
   void RecordExecutedKey(const Exchange& exchange, std::uint64_t connection);
@@ -160,6 +175,7 @@
   EndpointNotices& notices_;
   Metrics& metrics_;
   RequestLog log_;
+  ColdStartGateways cold_start_gateways_;
   std::shared_ptr<BodyMemory> response_memory_;
   std::shared_ptr<const RouteTable> routes_;
   SplitPicker split_;
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -136,9 +136,11 @@
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
   void OnEntryRejected(const EndpointId& id, const Error& error);
-  void OnRegistryChanges(const std::vector<EndpointRegistry::Change>& changes);
+  void OnRegistryChanges(std::vector<EndpointRegistry::Change> changes);
+  void UpdateWarmUp(EndpointInfo& endpoint, SteadyTime now) const;
   void OnLeasesPage(const LogPage& page, BootTime as_of);
-  void OnGatewaysPage(const LogPage& page);
+  // sent: when the read of the page was sent.
+  void OnGatewaysPage(const LogPage& page, BootTime sent);
 
   LeaseKeeper& Keeper(const ServiceId& service);
   // Passes a table to its keeper, which adopts it if it is newer. source: for
@@ -213,6 +215,9 @@
   bool ReadsStore() const;
   void AddConfig(const PeerStateRequest& query, bool accepts_patch,
                  PeerState& state);
+  // Digest of the registered endpoints and of which ones are cold, if requests
+  // to these are limited.
+  std::uint64_t CurrentEndpointsDigest() const;
   std::uint64_t LeasesEnd() const;
   std::optional<GatewayInstance> ReaderToFollow() const;
   std::size_t PlaceAmongReaders() const;
@@ -262,11 +267,13 @@
   // Offsets up to which the logs were read, by this gateway or its reader.
   std::uint64_t config_offset_ = 0;
   std::uint64_t registry_offset_ = 0;
+  BootTime last_turned_cold_;  // any endpoint that was known
   // False once a patch did not fit: other gateways then send whole texts.
   bool accepts_patches_ = true;
   std::map<RouterId, GatewayInstance> gateways_;
-  bool gateways_known_ = false;  // read from the store at least once
-  bool registering_ = false;     // the record has been sent at least once
+  bool gateways_known_ = false;   // read from the store at least once
+  bool gateways_listed_ = false;  // to its end
+  bool registering_ = false;      // the record has been sent at least once
   // Whether this gateway reads the configuration, registry and leases itself.
   bool reads_store_ = false;
   // The gateway through which this one reads the store; empty if there is none.
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -47,6 +47,8 @@
   const auto capacities = forwarder_.Capacities(service);
   const auto speeds = endpoint_speeds_.find(service);
   const BootTime now = BootClock::now();
+  const auto steady_now = std::chrono::steady_clock::now();
+  const bool limits_cold = forwarder_.LimitsColdEndpoints(service);
   std::vector<EligibleEndpoint> endpoints;
   for (const auto& endpoint : LiveEndpoints()) {
     if (endpoint.service != service || endpoint.draining ||
@@ -62,7 +64,10 @@
       capacity = endpoint.slots * speeds->second.Speed(endpoint.ref, now);
       if (own_capacity < kMuchSlowerShare * capacity) capacity = own_capacity;
     }
-    endpoints.push_back({{endpoint.ref, endpoint.address}, capacity});
+    const bool cold =
+        limits_cold &&
+        registry_.WarmUpLeft(endpoint.ref.id, steady_now) > Milliseconds(0);
+    endpoints.push_back({{endpoint.ref, endpoint.address}, capacity, cold});
   }
   return endpoints;
 }
@@ -192,6 +197,12 @@
     client->CloseExpired();
   }
   const BootTime now = BootClock::now();
+  // Endpoints that are warm by now may get keys again.
+  for (auto& [service, keeper] : keepers_) {
+    if (elected_ && forwarder_.LimitsColdEndpoints(service)) {
+      keeper->OnEndpoints(EligibleEndpoints(service), now);
+    }
+  }
   for (auto& [service, keys] : forwarder_.TakeKeySamples()) {
     const auto found = keepers_.find(service);
     if (found == keepers_.end()) continue;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -34,6 +34,9 @@
 // Difference between the ages of two gateways' states from which on a long poll
 // is responded to although nothing has changed.
 constexpr Milliseconds kMinAgeGain{500};
+// Time after an endpoint has turned cold in which every response has the
+// endpoints: above the longest time between two responses to a gateway.
+constexpr Milliseconds kColdNoticeTime{1'500};
 constexpr Milliseconds kConnectTimeout{250};
 // Age of leases that were never read: far above LeaseKeeper::kMaxViewAge. The
 // time since the VM started would not do, because it may be short.
@@ -139,12 +142,23 @@
   return end;
 }
 
+std::uint64_t Gateway::Impl::CurrentEndpointsDigest() const {
+  const auto now = std::chrono::steady_clock::now();
+  std::set<EndpointId> cold;
+  for (const auto& [id, endpoint] : registry_.endpoints()) {
+    if (forwarder_.LimitsColdEndpoints(endpoint.service) &&
+        registry_.WarmUpLeft(id, now) > Milliseconds(0)) {
+      cold.insert(id);
+    }
+  }
+  return EndpointsDigest(registry_.endpoints(), cold);
+}
+
 PeerStateRequest Gateway::Impl::MakePeerStateQuery(bool long_poll) const {
   PeerStateRequest query;
   query.config_version = routes_ ? routes_->config().version : 0;
   // 0 requests any listing, even an empty one.
-  query.endpoints_digest =
-      registry_.loaded() ? EndpointsDigest(registry_.endpoints()) : 0;
+  query.endpoints_digest = registry_.loaded() ? CurrentEndpointsDigest() : 0;
   query.leases_end = LeasesEnd();
   query.long_poll = long_poll;
   return query;
@@ -354,9 +368,15 @@
   state.registry_age = AgeAt(proofs_.Of(Log::kEndpointRegistry), poll.arrived);
   state.config_arriving = store_.IsReceiving(Log::kOperatorConfig);
   state.registry_offset = registry_offset_;
+  // The digest does not show that an endpoint has turned cold once more.
+  const bool turned_cold = last_turned_cold_ != BootTime{} &&
+                           poll.arrived < last_turned_cold_ + kColdNoticeTime;
   if (state.store_reachable &&
-      EndpointsDigest(registry_.endpoints()) != query.endpoints_digest) {
+      (turned_cold || CurrentEndpointsDigest() != query.endpoints_digest)) {
     state.endpoints = registry_.endpoints();
+    for (EndpointInfo& endpoint : *state.endpoints | std::views::values) {
+      UpdateWarmUp(endpoint, std::chrono::steady_clock::now());
+    }
   }
   const BootTime now = BootClock::now();
   // Without a keeper, this gateway has not read the leases.
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -42,6 +42,8 @@
       return "endpoint_changed";
     case Kind::kDraining:
       return "endpoint_draining";
+    case Kind::kCold:
+      return "endpoint_turned_cold";
     case Kind::kRemoved:
       return "endpoint_removed";
     case Kind::kRemovalDeferred:
@@ -92,7 +94,9 @@
              });
   gateways_follower_ = follow(
       {Log::kGateways, Milliseconds(0), Milliseconds(0), kGatewaysInterval},
-      [this](const LogPage& page, const Times&) { OnGatewaysPage(page); });
+      [this](const LogPage& page, const Times& times) {
+        OnGatewaysPage(page, times.sent);
+      });
   // The list of gateways is read first. Otherwise all gateways that start
   // together, as after a power failure, would read everything from the store at
   // once, over one link.
@@ -282,6 +286,7 @@
   auto entry = parsers_.endpoint(record.key, *record.value);
   if (entry) {
     rejected_records_.Remove(Log::kEndpointRegistry, record.key);
+    entry.value().entry_version = record.offset + 1;
     return std::move(entry.value());
   }
   OnEntryRejected(record.key, entry.error());
@@ -318,8 +323,17 @@
 }
 
 void Gateway::Impl::OnRegistryChanges(
-    const std::vector<EndpointRegistry::Change>& changes) {
+    std::vector<EndpointRegistry::Change> changes) {
+  using Kind = EndpointRegistry::Change::Kind;
+  std::erase_if(changes, [this](const auto& change) {
+    return change.kind == Kind::kCold &&
+           !forwarder_.LimitsColdEndpoints(change.endpoint.service);
+  });
   if (changes.empty()) return;
+  const bool turned_cold =
+      std::ranges::find(changes, Kind::kCold,
+                        &EndpointRegistry::Change::kind) != changes.end();
+  if (turned_cold) last_turned_cold_ = BootClock::now();
   for (const auto& change : changes) {
     LogInfo(ChangeName(change.kind),
             {{"endpoint", change.endpoint.ref.ToString()},
@@ -345,18 +359,27 @@
   return live;
 }
 
+// Replaces the warm-up time that the entry stated by what is left of it, if
+// requests to cold endpoints of the service are limited.
+void Gateway::Impl::UpdateWarmUp(EndpointInfo& endpoint, SteadyTime now) const {
+  if (!forwarder_.LimitsColdEndpoints(endpoint.service)) return;
+  endpoint.warm_up_left = registry_.WarmUpLeft(endpoint.ref.id, now);
+}
+
 // Passes the registered endpoints to the forwarder and the lease keepers.
 void Gateway::Impl::ApplyEndpoints() {
   if (routes_) {
     address_holders_ =
         AddressHolders(registry_.endpoints(), routes_->config().services);
   }
-  const auto live = LiveEndpoints();
+  auto live = LiveEndpoints();
   if (live.size() != registry_.endpoints().size()) {
     LogInfo("endpoints_replaced",
             {{"count",
               std::to_string(registry_.endpoints().size() - live.size())}});
   }
+  const auto steady_now = std::chrono::steady_clock::now();
+  for (EndpointInfo& endpoint : live) UpdateWarmUp(endpoint, steady_now);
   forwarder_.SetEndpoints(live);
   const BootTime now = BootClock::now();
   for (auto& [service, keeper] : keepers_) {
@@ -397,7 +420,7 @@
   }
 }
 
-void Gateway::Impl::OnGatewaysPage(const LogPage& page) {
+void Gateway::Impl::OnGatewaysPage(const LogPage& page, BootTime sent) {
   std::vector<KeyedRecord> records = page.records;
   std::ranges::sort(records, std::less{}, &KeyedRecord::offset);
   for (const KeyedRecord& record : records) {
@@ -423,7 +446,23 @@
     return entry.first != self_.id && entry.second.address == self_.address;
   });
   RegisterIfNeeded();
-  forwarder_.SetGatewayCount(gateways_.size());
+  std::optional<SteadyTime> complete_as_of;
+  if (page.next >= page.log_end) {
+    complete_as_of =
+        std::chrono::steady_clock::now() - (BootClock::now() - sent);
+  }
+  std::vector<GatewayPlace> places;
+  const bool first_list =
+      complete_as_of && !std::exchange(gateways_listed_, true);
+  for (const auto& [id, gateway] : gateways_) {
+    // Other gateways need not have a record yet that this process has written.
+    if (first_list && id == self_.id &&
+        gateway.incarnation == self_.incarnation) {
+      continue;
+    }
+    places.push_back({id, gateway.data_centre});
+  }
+  forwarder_.SetGateways(places, complete_as_of);
   // If the list arrives too late, following has already started.
   if (!std::exchange(gateways_known_, true) && !reads_store_) FollowReader();
   std::vector<GatewayInstance> gateways;
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -64,7 +64,8 @@
 }  // namespace
 
 std::uint64_t EndpointsDigest(
-    const std::map<EndpointId, EndpointInfo>& endpoints) {
+    const std::map<EndpointId, EndpointInfo>& endpoints,
+    const std::set<EndpointId>& cold) {
   std::string text;
   for (const auto& endpoint : endpoints | std::views::values) {
     text.append(endpoint.ref.ToString())
@@ -78,6 +79,7 @@
         .append(std::to_string(endpoint.slots))
         .append(endpoint.draining ? "|draining\n" : "|\n");
   }
+  for (const EndpointId& id : cold) text.append(id).append("|cold\n");
   return XXH64(text.data(), text.size(), 0);
 }
 
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -65,10 +66,11 @@
   Milliseconds leases_age{0};
 };
 
-// Returns a digest of everything that affects how requests are routed; warm-up
-// times are not part of it.
+// Returns a digest of everything that affects how requests are routed; of the
+// warm-up, only which endpoints are cold is part of it.
 std::uint64_t EndpointsDigest(
-    const std::map<EndpointId, EndpointInfo>& endpoints);
+    const std::map<EndpointId, EndpointInfo>& endpoints,
+    const std::set<EndpointId>& cold = {});
 
 // Codec of a request as the target of an HTTP request. ParsePeerStateRequest
 // returns nullopt for any other target. Thread-safe.
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -113,6 +113,8 @@
       return "endpoint_failing";
     case RejectReason::kEndpointsPaused:
       return "endpoints_paused";
+    case RejectReason::kEndpointCold:
+      return "endpoint_cold";
     case RejectReason::kOverload:
       return "overload";
     case RejectReason::kTooLate:
@@ -176,6 +178,7 @@
                            const std::string& kind, Milliseconds elapsed,
                            std::size_t response_bytes,
                            std::optional<ReportedLoad> load, SteadyTime now) {
+  cold_start_.OnOutcome(endpoint.id, job, now);
   EndpointLoad* const state = FindLoad(endpoint);
   if (state == nullptr) return;
   const double round_trip_ms =
@@ -200,6 +203,7 @@
 
 void Scheduler::OnShed(std::uint64_t job, const EndpointRef& endpoint,
                        std::optional<ReportedLoad> load, SteadyTime now) {
+  cold_start_.OnOutcome(endpoint.id, job, now);
   if (EndpointLoad* const state = FindLoad(endpoint)) {
     state->OnShed(job, now, load);
   }
@@ -207,12 +211,14 @@
 
 void Scheduler::OnFailure(std::uint64_t job, const EndpointRef& endpoint,
                           EndpointFailure failure, SteadyTime now) {
+  cold_start_.OnOutcome(endpoint.id, job, now);
   if (EndpointLoad* const state = FindLoad(endpoint)) {
     state->OnFailure(job, failure, now);
   }
 }
 
 void Scheduler::OnCancelled(std::uint64_t job, const EndpointRef& endpoint) {
+  cold_start_.OnCancelled(endpoint.id, job);
   if (EndpointLoad* const state = FindLoad(endpoint)) state->OnCancelled(job);
 }
 
@@ -365,6 +371,7 @@
   const auto place = [&](const Candidate& candidate) {
     candidate.endpoint->OnSent(
         job.id, pass.now, static_cast<double>(ServiceTime(job.kind).count()));
+    cold_start_.OnSent(candidate.endpoint->info().ref.id, job.id, pass.now);
     pass.decisions.placements.push_back(
         {job.id, candidate.endpoint->info(), candidate.outstanding,
          Milliseconds(
@@ -420,7 +427,8 @@
         job.not_before <= pass.now) {
       return place(available);
     }
-    return reject(RejectReason::kOverload,
+    const bool cold = ColdWait(*best.endpoint, 0, pass.now) != Milliseconds(0);
+    return reject(cold ? RejectReason::kEndpointCold : RejectReason::kOverload,
                   Milliseconds(static_cast<std::int64_t>(
                       best.expected_latency_ms - latency_budget_ms)));
   }
@@ -440,9 +448,36 @@
   const EndpointRef& ref = endpoint.info().ref;
   if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
   if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
+  if (!ColdWait(endpoint, 0, pass.now)) return false;
   return pass.ignore_ejections || !endpoint.Ejected(pass.now);
 }
 
+std::optional<Milliseconds> Scheduler::ColdWait(const EndpointLoad& endpoint,
+                                                int ahead,
+                                                SteadyTime now) const {
+  if (!cold_start_.limited() || !endpoint.Cold(now)) return Milliseconds(0);
+  return cold_start_.Wait(endpoint.info().ref.id, endpoint.info().data_centre,
+                          static_cast<std::size_t>(ahead), now);
+}
+
+unsigned Scheduler::ColdShare(const EndpointRef& endpoint,
+                              SteadyTime now) const {
+  const auto found = loads_.find(endpoint);
+  return found == loads_.end()
+             ? 0
+             : cold_start_.Share(endpoint.id, found->second->info().data_centre,
+                                 now);
+}
+
+std::set<EndpointRef> Scheduler::ColdEndpoints(SteadyTime now) const {
+  std::set<EndpointRef> cold;
+  if (!cold_start_.limited()) return cold;
+  for (const auto& [ref, load] : loads_) {
+    if (load->Cold(now)) cold.insert(ref);
+  }
+  return cold;
+}
+
 Rejection Scheduler::RejectionWithoutCandidate(const Job& job,
                                                const Pass& pass) {
   std::vector<const EndpointLoad*> left;
@@ -461,8 +496,17 @@
     if (pause_left > Milliseconds(0)) pause = std::min(pause, pause_left);
   }
   const bool paused = pause != Milliseconds::max();
-  const Milliseconds wait = paused ? pause : kDefaultUnavailableWait;
+  // Another gateway may be able to send it, so the caller is not told to wait
+  // until an endpoint is warm.
+  Milliseconds wait = paused ? pause : kDefaultUnavailableWait;
+  bool cold = false;
+  for (const EndpointLoad* const load : left) {
+    if (paused || ColdWait(*load, 0, pass.now)) continue;
+    cold = true;
+    wait = std::min(wait, load->WarmUpLeft(pass.now));
+  }
   const RejectReason reason = paused ? RejectReason::kEndpointsPaused
+                              : cold ? RejectReason::kEndpointCold
                               : sharded_ && job.key
                                   ? RejectReason::kEndpointFailing
                                   : RejectReason::kNoEndpoint;
@@ -475,7 +519,8 @@
     const RangeLease* const lease = leases_->Find(*job.key);
     EndpointLoad& owner = *loads_.at(lease->owner.ref);
     if (owner.Ejected(pass.now) ||
-        notices_.PauseLeft(lease->owner.ref, pass.now) > Milliseconds(0)) {
+        notices_.PauseLeft(lease->owner.ref, pass.now) > Milliseconds(0) ||
+        !ColdWait(owner, 0, pass.now)) {
       return {};
     }
     const Candidate candidate = Evaluate(job, owner, pass);
@@ -548,6 +593,11 @@
     wait_ms = std::max(wait_ms,
                        (pass.queued_total + 1) * 1000 / completions_per_second);
   }
+  const auto cold_wait = ColdWait(endpoint, queued_ahead, pass.now);
+  if (cold_wait != Milliseconds(0)) {
+    candidate.has_headroom = false;
+    wait_ms = std::max(wait_ms, ToMs(cold_wait.value_or(ColdStart::kWindow)));
+  }
   candidate.expected_latency_ms = RoundTripMs(distance) + wait_ms + service_ms;
   const double total_ms =
       ToMs(pass.now - job.target) + target_ms + candidate.expected_latency_ms;
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -16,6 +17,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "gateway/cold_start.h"
 #include "gateway/endpoint_load.h"
 #include "gateway/endpoint_notices.h"
 #include "gateway/endpoint_speeds.h"
@@ -48,6 +50,7 @@
   kNoLease,          // no endpoint currently holds a lease for the key
   kEndpointFailing,  // the endpoint that holds the key is ejected
   kEndpointsPaused,  // all that are left asked for no requests for a time
+  kEndpointCold,     // more requests than a cold endpoint may get
   kOverload,         // latency budget exceeded, or the queue is full
   kTooLate,          // no endpoint can respond before the deadline
 };
@@ -103,6 +106,10 @@
 //   ignored. This does not apply to services that are sharded by key, nor to
 //   endpoints known to be replaced.
 //
+// - Cold endpoints get no more requests than ColdStart allows. Others are
+//   preferred meanwhile. A request for a key of a cold endpoint waits only if
+//   this gateway can send it within its latency budget.
+//
 // All times are of one monotonic clock. Not thread-safe.
 class Scheduler {
  public:
@@ -134,6 +141,17 @@
   // nullptr: no lease is known yet.
   void SetLeases(const LeaseTable* leases, SteadyTime now);
 
+  // Limits the requests to cold endpoints; see ColdStart::SetLimit. The
+  // gateways must outlive the scheduler or the next call.
+  void SetColdLimit(const ColdStartGateways* gateways, unsigned budget) {
+    cold_start_.SetLimit(gateways, budget);
+  }
+  // Returns the endpoints that are cold and to which requests are limited.
+  std::set<EndpointRef> ColdEndpoints(SteadyTime now) const;
+  // Returns how many requests this gateway may send to the endpoint in any one
+  // second while it is cold; 0 without a limit.
+  unsigned ColdShare(const EndpointRef& endpoint, SteadyTime now) const;
+
   // Places, queues or rejects a new or retried job. The result also contains
   // decisions on waiting jobs.
   Decisions Submit(Job job, SteadyTime now);
@@ -202,6 +220,10 @@
   Candidate Evaluate(const Job& job, EndpointLoad& endpoint, Pass& pass) const;
   bool IsEligible(const Job& job, const EndpointLoad& endpoint,
                   const Pass& pass) const;
+  // Returns how long a request to the endpoint has to wait because it is cold,
+  // if `ahead` others wait before it; nullopt: it may not be sent there.
+  std::optional<Milliseconds> ColdWait(const EndpointLoad& endpoint, int ahead,
+                                       SteadyTime now) const;
   // Rejects a job for which there is no candidate.
   Rejection RejectionWithoutCandidate(const Job& job, const Pass& pass);
   Milliseconds RetryAfter(const Job& job, Milliseconds wait, SteadyTime now);
@@ -210,6 +232,7 @@
   const GatewaySettings& settings_;
   const EndpointNotices& notices_;
   const Options options_;
+  mutable ColdStart cold_start_;  // forgets what has expired when asked
   // By data centre, and whether the endpoints reserve a slot for urgent work.
   std::map<std::pair<std::string, bool>, PooledLoad> pooled_loads_;
   std::map<EndpointRef, std::unique_ptr<EndpointLoad>> loads_;
