Replay the services without keys of installations G and R

Cause: the replays knew no endpoint that reports a duration, rejects everything or becomes slow for moments, and no link between regions. Change: the simulation learns machines that are slow for 400 ms, endpoints that reject requests, a retry budget, and a link between regions. Five patterns have the full size of the installations and last 20 s: a burst from 3 to 7 s, and half of the endpoints rejecting from 9 to 17.5 s. They print requests served in time, late and rejected, rejected sends, the busiest over the mean, the time of endpoints with a queue beside free ones, and the bytes between regions, for the landed policy and the new one.

--- a/Tests/Gateway/load_replay.cc
+++ b/Tests/Gateway/load_replay.cc
@@ -8,6 +8,7 @@
 #include <random>
 #include <unordered_map>
 
+#include "gateway/retry_window.h"
 #include "gateway/scheduler.h"
 
 namespace balsamhall::gateway {
@@ -24,6 +25,8 @@
 // response is retried at another endpoint.
 constexpr int kSilentFactor = 6;
 constexpr Ms kMinAttemptTime{300};
+constexpr Ms kSampleInterval{10};
+constexpr unsigned kMaxAttempts = 3;
 
 class Simulation {
  public:
@@ -35,7 +38,9 @@
       const std::string centre = "c" + std::to_string(c);
       settings.region_of[centre] =
           "region" + std::to_string(Region(pattern, c));
-      for (std::size_t e = 0; e < pattern.endpoints_per_centre; ++e) {
+      for (std::size_t e = 0; e < CountIn(c, pattern.endpoints_per_centre,
+                                          pattern.additional_endpoints);
+           ++e) {
         EndpointInfo info;
         info.ref = {"e" + std::to_string(endpoints_.size()), 1};
         info.data_centre = centre;
@@ -43,11 +48,13 @@
         endpoint_index_[info.ref.id] = endpoints_.size();
         infos.push_back(info);
         endpoints_.push_back(
-            {c, pattern.speeds[e % pattern.speeds.size()], 0, 0, {}});
+            {c, pattern.speeds[e % pattern.speeds.size()], 0, 0, {}, false});
       }
     }
     for (std::size_t c = 0; c < pattern.data_centres; ++c) {
-      for (std::size_t g = 0; g < pattern.gateways_per_centre; ++g) {
+      for (std::size_t g = 0; g < CountIn(c, pattern.gateways_per_centre,
+                                          pattern.additional_gateways);
+           ++g) {
         auto gateway = std::make_unique<Gateway>();
         gateway->centre = c;
         gateway->settings = settings;
@@ -55,9 +62,7 @@
         gateway->scheduler = std::make_unique<Scheduler>(
             gateway->settings, notices_,
             seed + static_cast<std::uint32_t>(gateways_.size()),
-            policy == Policy::kTrustOldReports
-                ? Scheduler::Options{false, false}
-                : Scheduler::Options{});
+            OptionsOf(policy));
         gateway->scheduler->SetEndpoints(infos, now_);
         gateway->in_flight.resize(endpoints_.size());
         gateways_.push_back(std::move(gateway));
@@ -69,6 +74,8 @@
   ReplayResult Run() {
     for (const WorkKind& kind : pattern_.kinds) ScheduleArrival(kind);
     for (std::size_t g = 0; g < gateways_.size(); ++g) ScheduleAdvance(g);
+    ScheduleSample();
+    if (pattern_.slow_machines.share > 0) ChooseSlowMachines();
     while (!events_.empty()) {
       Event event = events_.top();
       events_.pop();
@@ -76,26 +83,14 @@
       event.action();
     }
     RecordImbalance();
+    if (samples_ > 0) {
+      result_.full_beside_free =
+          full_samples_ / (samples_ * static_cast<double>(endpoints_.size()));
+    }
     return std::move(result_);
   }
 
  private:
-  static std::size_t Region(const LoadPattern& pattern, std::size_t centre) {
-    return pattern.regions == 0 ? centre : centre % pattern.regions;
-  }
-
-  void RecordImbalance() {
-    double arrivals = 0;
-    double speeds = 0;
-    double busiest = 0;
-    for (const Endpoint& endpoint : endpoints_) {
-      arrivals += endpoint.arrivals;
-      speeds += endpoint.speed;
-      busiest = std::max(busiest, endpoint.arrivals / endpoint.speed);
-    }
-    result_.imbalance = busiest * speeds / std::max(1.0, arrivals);
-  }
-
   struct Request {
     const WorkKind* kind = nullptr;
     std::size_t gateway = 0;
@@ -104,6 +99,7 @@
     SteadyTime sent;
     std::size_t endpoint = 0;
     unsigned attempt = 0;
+    bool waiting = true;  // not at an endpoint
     bool ended = false;
   };
   struct QueuedAttempt {
@@ -116,12 +112,14 @@
     int arrivals = 0;
     unsigned running = 0;
     std::deque<QueuedAttempt> queue;
+    bool slow = false;
   };
   struct Gateway {
     std::size_t centre = 0;
     GatewaySettings settings;
     std::unique_ptr<Scheduler> scheduler;
     std::vector<int> in_flight;
+    RetryWindow retries{Ms(10'000), 0.1, 0};
   };
   struct Event {
     SteadyTime at;
@@ -132,6 +130,111 @@
     }
   };
 
+  static std::size_t Region(const LoadPattern& pattern, std::size_t centre) {
+    return pattern.regions == 0 ? centre : centre % pattern.regions;
+  }
+
+  static std::size_t CountIn(std::size_t centre, std::size_t count,
+                             std::size_t additional) {
+    return count + (centre < additional ? 1 : 0);
+  }
+
+  static Scheduler::Options OptionsOf(Policy policy) {
+    Scheduler::Options options;
+    if (policy == Policy::kTrustOldReports) {
+      options.pool_loads = options.choose_equals_at_random = false;
+    }
+    options.use_durations = policy != Policy::kIgnoreDurations;
+    return options;
+  }
+
+  void ScheduleSample() {
+    ScheduleAfter(kSampleInterval, [this] {
+      if (Elapsed() >= pattern_.duration) return;
+      const auto full = std::ranges::count_if(
+          endpoints_, [](const Endpoint& e) { return !e.queue.empty(); });
+      const bool free = std::ranges::any_of(endpoints_, [this](const auto& e) {
+        return e.running < pattern_.slots;
+      });
+      ++samples_;
+      if (free) full_samples_ += static_cast<double>(full);
+      ScheduleSample();
+    });
+  }
+
+  void ChooseSlowMachines() {
+    for (Endpoint& endpoint : endpoints_) {
+      endpoint.slow = Uniform() < pattern_.slow_machines.share;
+    }
+    if (Elapsed() >= pattern_.duration) return;
+    ScheduleAfter(pattern_.slow_machines.period,
+                  [this] { ChooseSlowMachines(); });
+  }
+
+  ReportedLoad LoadOf(const Endpoint& endpoint) const {
+    ReportedLoad load{endpoint.running,
+                      static_cast<unsigned>(endpoint.queue.size()),
+                      pattern_.slots,
+                      {}};
+    if (pattern_.report_durations) {
+      load.duration_percent = static_cast<unsigned>(
+          100 * (endpoint.slow ? pattern_.slow_machines.factor : 1));
+    }
+    return load;
+  }
+
+  bool Rejects(std::size_t e) const {
+    return e % 2 == 1 && Elapsed() >= pattern_.rejecting.from &&
+           Elapsed() < pattern_.rejecting.to;
+  }
+
+  // Returns the delay of a response, of which the link between the regions may
+  // be busy with others.
+  SteadyTime::duration ResponseDelay(const Request& request) {
+    const Ms delay = OneWayDelay(request);
+    if (delay == kLocalDelay) return delay;
+    result_.bytes_between_regions += request.kind->bytes;
+    if (pattern_.region_link_mbps <= 0) return delay;
+    SteadyTime& free_at =
+        link_free_at_[Region(pattern_, endpoints_[request.endpoint].centre)];
+    free_at =
+        std::max(free_at, now_) +
+        Us(static_cast<std::int64_t>(static_cast<double>(request.kind->bytes) *
+                                     8 / pattern_.region_link_mbps));
+    return free_at - now_ + delay;
+  }
+
+  void OnRejected(std::uint64_t id, unsigned attempt, std::size_t e,
+                  ReportedLoad load) {
+    Request& request = requests_.at(id);
+    if (request.attempt != attempt || request.ended) return;
+    Gateway& gateway = *gateways_[request.gateway];
+    --gateway.in_flight[e];
+    const EndpointRef& ref = endpoint_infos_[e].ref;
+    gateway.scheduler->OnShed(id, ref, load, now_);
+    if (attempt < kMaxAttempts && gateway.retries.TryRetry(now_)) {
+      request.waiting = true;
+      request.job.tried.push_back(ref);
+      request.job.admitted = false;
+      return ApplyDecisions(request.gateway,
+                            gateway.scheduler->Submit(request.job, now_));
+    }
+    request.ended = true;
+    ++result_.kinds[request.kind->name].rejected;
+  }
+
+  void RecordImbalance() {
+    double arrivals = 0;
+    double speeds = 0;
+    double busiest = 0;
+    for (const Endpoint& endpoint : endpoints_) {
+      arrivals += endpoint.arrivals;
+      speeds += endpoint.speed;
+      busiest = std::max(busiest, endpoint.arrivals / endpoint.speed);
+    }
+    result_.imbalance = busiest * speeds / std::max(1.0, arrivals);
+  }
+
   void ScheduleAt(SteadyTime at, std::function<void()> action) {
     events_.push({at, ++order_, std::move(action)});
   }
@@ -165,8 +268,9 @@
 
   std::size_t PickGateway() {
     const bool first = Uniform() < pattern_.first_centre_share;
-    const std::size_t count =
-        first ? pattern_.gateways_per_centre : gateways_.size();
+    const std::size_t count = first ? CountIn(0, pattern_.gateways_per_centre,
+                                              pattern_.additional_gateways)
+                                    : gateways_.size();
     return static_cast<std::size_t>(Uniform() * static_cast<double>(count));
   }
 
@@ -188,6 +292,7 @@
     job.deadline = now_ + kind.deadline;
     job.not_before = now_;
     ScheduleAfter(kind.deadline, [this, id] { OnDeadline(id); });
+    gateways_[request.gateway]->retries.OnRequest(now_);
     if (UsesScheduler()) {
       ApplyDecisions(request.gateway,
                      gateways_[request.gateway]->scheduler->Submit(job, now_));
@@ -236,6 +341,7 @@
     Request& request = requests_.at(id);
     request.endpoint = endpoint;
     request.sent = now_;
+    request.waiting = false;
     const unsigned attempt = ++request.attempt;
     ++gateways_[request.gateway]->in_flight[endpoint];
     ScheduleAfter(OneWayDelay(request), [this, id, attempt, endpoint] {
@@ -261,12 +367,24 @@
     request.job.tried.push_back(ref);
     request.job.admitted = true;  // it may have run
     ++request.attempt;            // the endpoint drops the first attempt
+    request.waiting = true;
     ApplyDecisions(request.gateway, scheduler.Submit(request.job, now_));
   }
 
   void OnEndpointArrival(std::uint64_t id, unsigned attempt, std::size_t e) {
     Endpoint& endpoint = endpoints_[e];
     ++endpoint.arrivals;
+    const bool full = endpoint.running >= pattern_.slots &&
+                      endpoint.queue.size() >= pattern_.endpoint_queue;
+    if (Rejects(e) || (full && pattern_.reject_when_full)) {
+      ++result_.rejected_sends;
+      if (full) ++result_.queue_overflows;
+      ScheduleAfter(OneWayDelay(requests_.at(id)),
+                    [this, id, attempt, e, load = LoadOf(endpoint)] {
+                      OnRejected(id, attempt, e, load);
+                    });
+      return;
+    }
     if (endpoint.running < pattern_.slots) return StartWork(id, attempt, e);
     if (endpoint.queue.size() >= pattern_.endpoint_queue) {
       ++result_.queue_overflows;  // gets no response
@@ -288,6 +406,7 @@
     if (e < slow.endpoints && Elapsed() >= slow.from && Elapsed() < slow.to) {
       service_ms *= slow.factor;
     }
+    if (endpoints_[e].slow) service_ms *= pattern_.slow_machines.factor;
     ScheduleAfter(Us(static_cast<std::int64_t>(service_ms * 1000)),
                   [this, id, attempt, e] { OnWorkDone(id, attempt, e); });
   }
@@ -295,12 +414,10 @@
   void OnWorkDone(std::uint64_t id, unsigned attempt, std::size_t e) {
     Endpoint& endpoint = endpoints_[e];
     --endpoint.running;
-    const ReportedLoad load{endpoint.running,
-                            static_cast<unsigned>(endpoint.queue.size()),
-                            pattern_.slots};
-    ScheduleAfter(OneWayDelay(requests_.at(id)), [this, id, attempt, e, load] {
-      OnResponse(id, attempt, e, load);
-    });
+    ScheduleAfter(ResponseDelay(requests_.at(id)),
+                  [this, id, attempt, e, load = LoadOf(endpoint)] {
+                    OnResponse(id, attempt, e, load);
+                  });
     while (!endpoint.queue.empty() && endpoint.running < pattern_.slots) {
       const QueuedAttempt next = endpoint.queue.front();
       endpoint.queue.pop_front();
@@ -343,7 +460,7 @@
       --gateway.in_flight[request.endpoint];
       return;
     }
-    if (request.attempt == 0) return gateway.scheduler->Remove(id);
+    if (request.waiting) return gateway.scheduler->Remove(id);
     gateway.scheduler->OnFailure(id, endpoint_infos_[request.endpoint].ref,
                                  EndpointFailure::kTimeout, now_);
   }
@@ -362,6 +479,10 @@
   std::unordered_map<std::string, std::size_t> endpoint_index_;
   std::vector<std::unique_ptr<Gateway>> gateways_;
   std::unordered_map<std::uint64_t, Request> requests_;
+  // By the region that sends; when the link has transferred all responses.
+  std::map<std::size_t, SteadyTime> link_free_at_;
+  int samples_ = 0;
+  double full_samples_ = 0;
   ReplayResult result_;
 };
 
--- a/Tests/Gateway/load_replay.h
+++ b/Tests/Gateway/load_replay.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <ostream>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,8 @@
   kScheduler,
   // The scheduler without what it does about old reports of endpoint load.
   kTrustOldReports,
+  // The scheduler without what it does where endpoints report durations.
+  kIgnoreDurations,
   // Of two random endpoints, the one with fewer of the gateway's own requests
   // in flight. Nothing is queued or rejected at the gateway.
   kPowerOfTwoChoices,
@@ -45,6 +48,20 @@
   Milliseconds to{0};
 };
 
+// The service times of a random share of the endpoints, chosen again in each
+// period, are multiplied.
+struct SlowMachines {
+  double share = 0;
+  double factor = 1;
+  Milliseconds period{400};
+};
+
+// Every second endpoint rejects all requests between these times.
+struct Rejecting {
+  Milliseconds from{0};
+  Milliseconds to{0};
+};
+
 struct LoadPattern {
   std::string name;
   std::vector<WorkKind> kinds;
@@ -54,13 +71,27 @@
   std::vector<double> speeds{1};
   std::size_t gateways_per_centre = 3;
   std::size_t endpoints_per_centre = 3;
+  // Of the first data centres, which have one more than the others.
+  std::size_t additional_gateways = 0;
+  std::size_t additional_endpoints = 0;
   unsigned slots = 2;
   unsigned endpoint_queue = 8;
   Slowdown slowdown;
+  SlowMachines slow_machines;
+  Rejecting rejecting;
+  bool report_durations = false;
+  // Endpoints respond to requests that find their queue full.
+  bool reject_when_full = false;
+  double region_link_mbps = 0;  // each way between regions; 0: not limited
   // Share of the requests that enter in the first data centre; the others are
   // spread over all gateways.
   double first_centre_share = 0;
   Milliseconds duration{20'000};
+
+  friend std::ostream& operator<<(std::ostream& out,
+                                  const LoadPattern& pattern) {
+    return out << pattern.name;
+  }
 };
 
 struct KindResult {
@@ -92,6 +123,11 @@
   double imbalance = 0;
   int longest_endpoint_queue = 0;
   int queue_overflows = 0;  // requests that found an endpoint's queue full
+  int rejected_sends = 0;   // requests that an endpoint rejected
+  // Share of the endpoints' time in which one had requests waiting while
+  // another of them had a free slot.
+  double full_beside_free = 0;
+  std::size_t bytes_between_regions = 0;
 };
 
 // Simulates the pattern; the same seed gives the same result.
--- a/Tests/Gateway/load_replay_test.cc
+++ b/Tests/Gateway/load_replay_test.cc
@@ -227,6 +227,146 @@
   BOOST_TEST(result.queue_overflows == 0);
 }
 
+// One service of the installations G or R of docs/design/hard-load.md, short.
+// From 3 to 7 s its rate is multiplied, and from 9 to 17.5 s half of its
+// endpoints reject everything.
+LoadPattern Installation(const char* name, WorkKind kind, std::size_t gateways,
+                         std::size_t endpoints, unsigned slots,
+                         std::vector<double> speeds) {
+  LoadPattern pattern = MakePattern(name, {std::move(kind)});
+  pattern.kinds[0].flood_from = Ms(3'000);
+  pattern.kinds[0].flood_to = Ms(7'000);
+  pattern.data_centres = 4;
+  pattern.regions = 2;
+  pattern.gateways_per_centre = gateways / 4;
+  pattern.additional_gateways = gateways % 4;
+  pattern.endpoints_per_centre = endpoints / 4;
+  pattern.additional_endpoints = endpoints % 4;
+  pattern.slots = slots;
+  pattern.endpoint_queue = 24;
+  pattern.speeds = std::move(speeds);
+  pattern.rejecting = {Ms(9'000), Ms(17'500)};
+  pattern.report_durations = true;
+  pattern.reject_when_full = true;
+  pattern.region_link_mbps = 74;
+  return pattern;
+}
+
+LoadPattern InstallationG(const char* name, WorkKind kind,
+                          std::size_t endpoints, std::vector<double> speeds) {
+  LoadPattern pattern =
+      Installation(name, std::move(kind), 77, endpoints, 6, std::move(speeds));
+  pattern.slow_machines = {0.2, 3, Ms(400)};
+  return pattern;
+}
+
+LoadPattern InstallationR(const char* name, WorkKind kind,
+                          std::size_t endpoints) {
+  LoadPattern pattern =
+      Installation(name, std::move(kind), 29, endpoints, 4, {1});
+  pattern.region_link_mbps = 60;
+  return pattern;
+}
+
+std::vector<LoadPattern> Installations() {
+  return {InstallationG("G orders",
+                        {"orders",
+                         1,
+                         false,
+                         632,
+                         530,
+                         Ms(1'500),
+                         Ms(3'000),
+                         1'600,
+                         1.6,
+                         {},
+                         {}},
+                        114, {0.5, 1, 1, 1.5}),
+          InstallationG("G downloads",
+                        {"downloads",
+                         2,
+                         true,
+                         239,
+                         330,
+                         Ms(3'000),
+                         Ms(3'000),
+                         90'000,
+                         2.5,
+                         {},
+                         {}},
+                        27, {0.7, 0.7, 1.6}),
+          InstallationR("R charges",
+                        {"charges",
+                         1,
+                         false,
+                         413,
+                         280,
+                         Ms(1'000),
+                         Ms(2'500),
+                         2'000,
+                         2.5,
+                         {},
+                         {}},
+                        65),
+          InstallationR("R dispatch",
+                        {"dispatch",
+                         1,
+                         false,
+                         305,
+                         150,
+                         Ms(800),
+                         Ms(2'000),
+                         2'000,
+                         2,
+                         {},
+                         {}},
+                        26),
+          InstallationR("R tracking",
+                        {"tracking",
+                         1,
+                         true,
+                         198,
+                         850,
+                         Ms(3'000),
+                         Ms(8'000),
+                         2'000,
+                         1.6,
+                         {},
+                         {}},
+                        96)};
+}
+
+void PrintReplay(const LoadPattern& pattern, const char* policy,
+                 const ReplayResult& result) {
+  for (const auto& [name, kind] : result.kinds) {
+    BOOST_TEST_MESSAGE(pattern.name
+                       << ", " << policy << ": requests " << kind.requests
+                       << ", in target " << kind.in_target << ", late "
+                       << kind.late << ", rejected " << kind.rejected
+                       << " (rank " << pattern.kinds[0].rank << "), unanswered "
+                       << kind.unanswered << ", rejected sends "
+                       << result.rejected_sends << ", of these full "
+                       << result.queue_overflows << ", busiest over mean "
+                       << result.imbalance << ", full beside free "
+                       << result.full_beside_free << ", MB between regions "
+                       << static_cast<double>(result.bytes_between_regions) /
+                              1e6);
+  }
+}
+
+BOOST_DATA_TEST_CASE(
+    replayed_installations_serve_more_with_slow_and_rejecting_endpoints,
+    data::make(Installations()) * data::make({1U, 2U}), pattern, seed) {
+  const auto result = Replay(pattern, Policy::kScheduler, seed);
+  const auto earlier = Replay(pattern, Policy::kIgnoreDurations, seed);
+  PrintReplay(pattern, "new", result);
+  PrintReplay(pattern, "before", earlier);
+  const std::string& kind = pattern.kinds[0].name;
+  BOOST_TEST(result.kinds.at(kind).MeanValue() >
+             earlier.kinds.at(kind).MeanValue());
+  BOOST_TEST(result.rejected_sends < 0.8 * earlier.rejected_sends);
+}
+
 BOOST_AUTO_TEST_CASE(local_endpoints_are_preferred) {
   const auto result = Replay(Calm().pattern, Policy::kScheduler, 1);
   const KindResult& kind = result.kinds.at("archive");
