Use reported durations, and learn which endpoints reject everything

Cause: a gateway of installation G sees an endpoint every few seconds. Work that ended while a machine was slow made its endpoint look slow for a long time. Endpoints that reject everything at once look idle and attract requests until the retry budget is used up. Change: the new module load_estimate divides the duration out of the learned slowdown, bounds what a single sample changes, and weighs a reading by its age up to 400 ms. An endpoint that rejects a request although it has free slots, or three in a row, gets one trial at a time after 250 ms to 2 s; others are expected to reject as often as all recently did. Rejections for want of a lease don't count. All of it takes effect only where endpoints report a duration.

--- a/Source/gateway/endpoint_load.cc
+++ b/Source/gateway/endpoint_load.cc
@@ -101,6 +101,7 @@
   average_others_outstanding_ +=
       kReportWeight * (others_outstanding_ - average_others_outstanding_);
   reported_at_ = now;
+  if (load.duration_percent) duration_.Report(*load.duration_percent, now);
   if (pooled_load_ != nullptr) {
     pooled_load_->Add(others_outstanding_ / std::max(1U, info_.slots), now);
   }
@@ -120,21 +121,29 @@
   ejections_ = 0;
   ejected_until_ = {};
   replaced_until_ = {};
+  rejections_.OnAccepted(now);
   if (now >= warm_at_) {
-    slowdown_ += kSlowdownWeight *
-                 (std::min(relative_time, kMaxRelativeTime) - slowdown_);
+    const double bounded = std::min(relative_time, kMaxRelativeTime);
+    slowdown_ += kSlowdownWeight * (duration_.Reported()
+                                        ? BoundedStep(slowdown_, bounded)
+                                        : bounded - slowdown_);
   }
   if (load) ApplyReport(now, *load);
 }
 
-void EndpointLoad::OnShed(std::uint64_t job, SteadyTime now,
-                          std::optional<ReportedLoad> load) {
+bool EndpointLoad::OnShed(std::uint64_t job, SteadyTime now,
+                          std::optional<ReportedLoad> load, bool lacks_lease) {
   in_flight_requests_.erase(job);
-  if (load) return ApplyReport(now, *load);
+  if (load) {
+    ApplyReport(now, *load);
+    return load->duration_percent && !lacks_lease &&
+           rejections_.OnRejected(HasFreeSlot(*load), now);
+  }
   // Without a report, all slots are assumed to be taken.
   others_outstanding_ = average_others_outstanding_ =
       std::max<double>(info_.slots, average_others_outstanding_);
   reported_at_ = now;
+  return false;
 }
 
 void EndpointLoad::OnFailure(std::uint64_t job, EndpointFailure failure,
--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -9,6 +9,7 @@
 
 #include "core/types.h"
 #include "gateway/fleet_view.h"
+#include "gateway/load_estimate.h"
 
 namespace balsamhall::gateway {
 
@@ -22,6 +23,10 @@
   std::optional<unsigned> duration_percent;
 };
 
+inline bool HasFreeSlot(const ReportedLoad& load) {
+  return load.running < load.slots && load.waiting == 0;
+}
+
 enum class EndpointFailure {
   kUnreachable,  // no connection
   kTimeout,      // no response in time
@@ -88,12 +93,15 @@
   void OnSent(std::uint64_t job, SteadyTime now, double typical_ms) {
     in_flight_requests_[job] = {now, typical_ms};
   }
-  // relative_time: service time divided by the typical one of its kind.
+  // relative_time: service time divided by the typical one of its kind, both of
+  // machines that take their usual time.
   void OnResponse(std::uint64_t job, SteadyTime now, double relative_time,
                   std::optional<ReportedLoad> load);
-  // The endpoint shed the request: rejected it without running it.
-  void OnShed(std::uint64_t job, SteadyTime now,
-              std::optional<ReportedLoad> load);
+  // The endpoint shed the request: rejected it without running it. lacks_lease:
+  // it would run requests for other keys. Returns true if the endpoint counts
+  // from now on as rejecting everything.
+  bool OnShed(std::uint64_t job, SteadyTime now,
+              std::optional<ReportedLoad> load, bool lacks_lease = false);
   void OnFailure(std::uint64_t job, EndpointFailure failure, SteadyTime now);
   // The request was cancelled, which says nothing about the endpoint's health.
   void OnCancelled(std::uint64_t job) { in_flight_requests_.erase(job); }
@@ -116,6 +124,9 @@
   double Slowdown(SteadyTime now) const;
   // Moving average of the share of failed requests, between 0 and 1.
   double FailureRate() const { return failure_rate_; }
+  // Expected duration of work on the endpoint's machine.
+  const MachineDuration& duration() const { return duration_; }
+  const RejectionHistory& rejections() const { return rejections_; }
   // Returns true while no request should be sent. After an ejection expires,
   // probe requests are sent one at a time until one succeeds.
   bool Ejected(SteadyTime now) const;
@@ -146,6 +157,8 @@
   PooledLoad* pooled_load_ = nullptr;
   SteadyTime reported_at_;
   double slowdown_ = 1;
+  MachineDuration duration_;
+  RejectionHistory rejections_;
   double failure_rate_ = 0;
   int consecutive_failures_ = 0;  // unreachable or timed out
   int ejections_ = 0;             // since the last response
--- a/Source/gateway/forwarder.cc
+++ b/Source/gateway/forwarder.cc
@@ -470,8 +470,18 @@
                 {"address", exchange.endpoint.address},
                 {"request", exchange.caller.id}});
     } else {
-      scheduler.OnShed(exchange.id, exchange.endpoint.ref,
-                       backend_response.load, now);
+      const bool rejecting = scheduler.OnShed(
+          exchange.id, exchange.endpoint.ref, backend_response.load, now,
+          backend_response.lacks_lease);
+      if (rejecting) {
+        log_.Write(RequestLog::Kind::kFailed, "endpoint_rejecting", 0,
+                   {{"request", exchange.caller.id},
+                    {"endpoint", exchange.endpoint.ref.ToString()},
+                    {"running", std::to_string(backend_response.load->running)},
+                    {"waiting", std::to_string(backend_response.load->waiting)},
+                    {"slots", std::to_string(backend_response.load->slots)}},
+                   now);
+      }
     }
     return OnNotExecuted(exchange, backend_response, response.status);
   }
@@ -917,7 +927,17 @@
 }
 
 void Forwarder::Clean() {
-  notices_.Clean(Now());
+  const auto now = Now();
+  notices_.Clean(now);
+  for (const auto& [name, service] : services_) {
+    const LoadInputs inputs = service->scheduler.Inputs(now);
+    if (!inputs.durations_reported) continue;
+    const std::string label = "service=\"" + name + "\"";
+    metrics_.Set("endpoint_duration_mean", label, inputs.mean_duration);
+    metrics_.Set("endpoint_rejected_share", label, inputs.rejected_share);
+    metrics_.Set("endpoints_rejecting", label,
+                 static_cast<double>(inputs.rejecting_endpoints));
+  }
   std::erase_if(newest_responded_, [this](const auto& entry) {
     return std::ranges::none_of(endpoints_, [&](const auto& endpoint) {
       return endpoint.ref == entry.first;
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -172,16 +172,30 @@
   return removed == removed_loads_.end() ? nullptr : removed->second.get();
 }
 
+void Scheduler::FilterDuration(std::optional<ReportedLoad>& load) {
+  if (!load || !load->duration_percent) return;
+  if (!options_.use_durations) load->duration_percent.reset();
+  if (!load->duration_percent) return;
+  durations_reported_ = true;
+  mean_duration_.Add(*load->duration_percent);
+}
+
 void Scheduler::OnResponse(std::uint64_t job, const EndpointRef& endpoint,
                            const std::string& kind, Milliseconds elapsed,
                            std::size_t response_bytes,
                            std::optional<ReportedLoad> load, SteadyTime now) {
   EndpointLoad* const state = FindLoad(endpoint);
   if (state == nullptr) return;
+  FilterDuration(load);
   const double round_trip_ms =
       RoundTripMs(settings_.DistanceTo(state->info().data_centre));
+  const double machine_duration =
+      load && load->duration_percent
+          ? DurationOfWork(*load->duration_percent, mean_duration_, elapsed)
+          : 1;
   const double service_ms =
-      std::max(1.0, static_cast<double>(elapsed.count()) - round_trip_ms);
+      std::max(1.0, static_cast<double>(elapsed.count()) - round_trip_ms) /
+      machine_duration;
   KindStats& stats = kind_stats_[kind];
   if (stats.service_ms == 0) stats.service_ms = service_ms;
   const double relative_time = service_ms / stats.service_ms;
@@ -195,14 +209,29 @@
   if (sharded_ && relative_time > 0) {
     speeds_[endpoint].Add(1 / relative_time);
   }
+  if (durations_reported_) rejection_rate_.Add(false, now);
   state->OnResponse(job, now, relative_time, load);
 }
 
-void Scheduler::OnShed(std::uint64_t job, const EndpointRef& endpoint,
-                       std::optional<ReportedLoad> load, SteadyTime now) {
-  if (EndpointLoad* const state = FindLoad(endpoint)) {
-    state->OnShed(job, now, load);
+bool Scheduler::OnShed(std::uint64_t job, const EndpointRef& endpoint,
+                       std::optional<ReportedLoad> load, SteadyTime now,
+                       bool lacks_lease) {
+  EndpointLoad* const state = FindLoad(endpoint);
+  if (state == nullptr) return false;
+  FilterDuration(load);
+  if (load && load->duration_percent && !lacks_lease) {
+    rejection_rate_.Add(HasFreeSlot(*load), now);
   }
+  return state->OnShed(job, now, load, lacks_lease);
+}
+
+LoadInputs Scheduler::Inputs(SteadyTime now) const {
+  LoadInputs inputs{durations_reported_, mean_duration_.value(),
+                    rejection_rate_.Share(now), 0};
+  inputs.rejecting_endpoints = static_cast<std::size_t>(std::ranges::count_if(
+      loads_ | std::views::values,
+      [](const auto& load) { return load->rejections().Rejecting(); }));
+  return inputs;
 }
 
 void Scheduler::OnFailure(std::uint64_t job, const EndpointRef& endpoint,
@@ -232,7 +261,8 @@
 Milliseconds Scheduler::ServiceTime(const std::string& kind) const {
   const auto found = kind_stats_.find(kind);
   if (found == kind_stats_.end()) return Milliseconds(0);
-  return Milliseconds(static_cast<std::int64_t>(found->second.service_ms));
+  return Milliseconds(static_cast<std::int64_t>(found->second.service_ms *
+                                                mean_duration_.value()));
 }
 
 std::map<EndpointRef, double> Scheduler::Capacities(SteadyTime now) const {
@@ -440,6 +470,8 @@
   const EndpointRef& ref = endpoint.info().ref;
   if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
   if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
+  if (endpoint.rejections().Closed(endpoint.in_flight(), pass.now))
+    return false;
   return pass.ignore_ejections || !endpoint.Ejected(pass.now);
 }
 
@@ -475,6 +507,7 @@
     const RangeLease* const lease = leases_->Find(*job.key);
     EndpointLoad& owner = *loads_.at(lease->owner.ref);
     if (owner.Ejected(pass.now) ||
+        owner.rejections().Closed(owner.in_flight(), pass.now) ||
         notices_.PauseLeft(lease->owner.ref, pass.now) > Milliseconds(0)) {
       return {};
     }
@@ -511,7 +544,8 @@
       std::max(1.0, static_cast<double>(job.target_latency.count()));
   const double service_ms =
       (known ? kind->second.service_ms : kUnknownServiceTimeShare * target_ms) *
-      endpoint.Slowdown(pass.now);
+      endpoint.Slowdown(pass.now) *
+      endpoint.duration().Expected(mean_duration_, pass.now);
   const double slots = std::max(1U, endpoint.info().slots);
   const auto distance = settings_.DistanceTo(endpoint.info().data_centre);
 
@@ -560,7 +594,10 @@
       (known ? kind->second.response_bytes : kDefaultResponseBytes);
   candidate.utility =
       (in_time_probability + kLateResponseValue * (1 - in_time_probability)) *
-          (1 - endpoint.FailureRate() * (job.idempotent ? 1 : 2)) -
+          (1 - endpoint.FailureRate() * (job.idempotent ? 1 : 2)) *
+          (1 - (durations_reported_ ? endpoint.rejections().Probability(
+                                          rejection_rate_, pass.now)
+                                    : 0)) -
       TransferCost(distance, rank, transfer_bytes) -
       kLatencyCost * total_ms / target_ms;
   return candidate;
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -21,6 +21,7 @@
 #include "gateway/endpoint_speeds.h"
 #include "gateway/fleet_view.h"
 #include "gateway/lease_table.h"
+#include "gateway/load_estimate.h"
 
 namespace balsamhall::gateway {
 
@@ -76,6 +77,14 @@
   std::vector<Rejection> rejections;
 };
 
+// Inputs of the decisions, for metrics.
+struct LoadInputs {
+  bool durations_reported = false;
+  double mean_duration = 1;  // relative to the usual one
+  double rejected_share = 0;
+  std::size_t rejecting_endpoints = 0;
+};
+
 // Load patterns and how the scheduler handles them:
 // - Flood of one kind: the queue is ordered by rank, then by target, and the
 //   last positions in an endpoint's own queue are left to more urgent work.
@@ -95,6 +104,9 @@
 // - Load concentrated in one data centre: a transfer between data centres has a
 //   cost by its bytes, and a request leaves its data centre only if that gains
 //   more than the transfer costs.
+// - Machines that become several times slower for moments, and endpoints that
+//   reject everything without running it: see load_estimate.h. Both take effect
+//   where endpoints report a duration.
 // - Endpoints that are leaving, or that asked for no requests for a time, get
 //   none (EndpointNotices). If all endpoints asked, requests are rejected at
 //   once with the time that is left, instead of being queued for them.
@@ -110,6 +122,8 @@
   struct Options {
     bool pool_loads = true;
     bool choose_equals_at_random = true;
+    // What is done where endpoints report a duration.
+    bool use_durations = true;
   };
 
   // The settings and the notices must outlive the scheduler. seed: for the
@@ -147,8 +161,11 @@
                   const std::string& kind, Milliseconds elapsed,
                   std::size_t response_bytes, std::optional<ReportedLoad> load,
                   SteadyTime now);
-  void OnShed(std::uint64_t job, const EndpointRef& endpoint,
-              std::optional<ReportedLoad> load, SteadyTime now);
+  // lacks_lease: the endpoint would run requests for other keys. Returns true
+  // if the endpoint counts from now on as rejecting everything.
+  bool OnShed(std::uint64_t job, const EndpointRef& endpoint,
+              std::optional<ReportedLoad> load, SteadyTime now,
+              bool lacks_lease = false);
   void OnFailure(std::uint64_t job, const EndpointRef& endpoint,
                  EndpointFailure failure, SteadyTime now);
   void OnCancelled(std::uint64_t job, const EndpointRef& endpoint);
@@ -166,6 +183,8 @@
   SpeedReport TakeSpeeds() { return std::exchange(speeds_, {}); }
   // Estimated capacity of each endpoint: slots divided by slowdown.
   std::map<EndpointRef, double> Capacities(SteadyTime now) const;
+  // What the scheduler has concluded from durations and rejections.
+  LoadInputs Inputs(SteadyTime now) const;
   std::size_t waiting() const { return waiting_.size(); }
   std::size_t endpoints() const { return loads_.size(); }
 
@@ -205,6 +224,8 @@
   // Rejects a job for which there is no candidate.
   Rejection RejectionWithoutCandidate(const Job& job, const Pass& pass);
   Milliseconds RetryAfter(const Job& job, Milliseconds wait, SteadyTime now);
+  // Notes whether durations are reported, or removes one that is not used.
+  void FilterDuration(std::optional<ReportedLoad>& load);
   EndpointLoad* FindLoad(const EndpointRef& endpoint);
 
   const GatewaySettings& settings_;
@@ -219,6 +240,10 @@
   std::unordered_map<std::string, KindStats> kind_stats_;
   std::minstd_rand random_;
   SpeedReport speeds_;
+  RejectionRate rejection_rate_;
+  MeanDuration mean_duration_;
+  // Endpoints report durations, so what depends on them is in force.
+  bool durations_reported_ = false;
   double urgent_share_ = 0;  // of recent requests
   std::unordered_set<const EndpointLoad*> reserved_endpoints_;
   bool urgent_mode_ = false;       // slots are reserved for urgent work
