Spread requests over endpoints by what is outstanding there

Cause: an endpoint that looks slightly faster got all requests of a gateway until it had more than its slots. Change: the utility loses 0.003 for each own request in flight and 0.002 for each estimated one of all gateways, where endpoints report a duration.

--- a/Source/gateway/load_estimate.cc
+++ b/Source/gateway/load_estimate.cc
@@ -30,6 +30,13 @@
 // whole service part last for seconds.
 constexpr Milliseconds kRejectionHalfLife{1'000};
 
+// Costs of a request at an endpoint, as shares of the value of a request in
+// time. Replays of installation G without faults: with both, endpoints have
+// requests waiting beside free slots for a third of the time; greater costs
+// send more work to slow endpoints and serve less in time.
+constexpr double kInFlightCost = 0.003;
+constexpr double kOutstandingCost = 0.002;
+
 double Ratio(SteadyTime::duration age, Milliseconds unit) {
   return std::chrono::duration<double>(age) /
          std::chrono::duration<double>(unit);
@@ -72,6 +79,10 @@
   return std::clamp(sample - estimate, -estimate / 2, estimate / 2);
 }
 
+double CrowdingCost(int in_flight, double outstanding) {
+  return kInFlightCost * in_flight + kOutstandingCost * outstanding;
+}
+
 void RejectionRate::Add(bool rejected, SteadyTime now) {
   share_ = Share(now);
   share_ += kRejectionWeight * ((rejected ? 1 : 0) - share_);
--- a/Source/gateway/load_estimate.h
+++ b/Source/gateway/load_estimate.h
@@ -48,6 +48,13 @@
 // end, so that a sample may be several times too large.
 double BoundedStep(double estimate, double sample);
 
+// Load pattern: most endpoints look alike, so a gateway would send all of its
+// requests to the one that looks slightly faster until that has queued work.
+// Returns what the utility of an endpoint loses by its requests. in_flight: of
+// this gateway, which are known exactly. outstanding: of all gateways,
+// estimated.
+double CrowdingCost(int in_flight, double outstanding);
+
 // Share of recent requests of one gateway to one service that were rejected by
 // endpoints with free slots. Not thread-safe.
 class RejectionRate {
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -592,14 +592,20 @@
   const double transfer_bytes =
       static_cast<double>(job.request_bytes) +
       (known ? kind->second.response_bytes : kDefaultResponseBytes);
+  const double rejection_probability =
+      durations_reported_
+          ? endpoint.rejections().Probability(rejection_rate_, pass.now)
+          : 0;
+  const double crowding_cost =
+      durations_reported_
+          ? CrowdingCost(endpoint.in_flight(), candidate.outstanding)
+          : 0;
   candidate.utility =
       (in_time_probability + kLateResponseValue * (1 - in_time_probability)) *
           (1 - endpoint.FailureRate() * (job.idempotent ? 1 : 2)) *
-          (1 - (durations_reported_ ? endpoint.rejections().Probability(
-                                          rejection_rate_, pass.now)
-                                    : 0)) -
+          (1 - rejection_probability) -
       TransferCost(distance, rank, transfer_bytes) -
-      kLatencyCost * total_ms / target_ms;
+      kLatencyCost * total_ms / target_ms - crowding_cost;
   return candidate;
 }
 
