Require three rejections before a key's owner gets only trials

Cause: found on review. A single rejection with free slots made all keys of an owner unavailable for 250 ms, and the retry after 60 ms was rejected. Change: for requests with keys, an owner counts as rejecting everything after three rejections in a row. Services without keys are unchanged.

--- a/Source/gateway/load_estimate.cc
+++ b/Source/gateway/load_estimate.cc
@@ -112,6 +112,10 @@
   return Rejecting() && (now < trial_at_ || in_flight > 0);
 }
 
+bool RejectionHistory::ClosedForKeys(int in_flight, SteadyTime now) const {
+  return rejections_ >= kRejectionsUntilClosed && Closed(in_flight, now);
+}
+
 double RejectionHistory::Probability(const RejectionRate& all,
                                      SteadyTime now) const {
   const double weight =
--- a/Source/gateway/load_estimate.h
+++ b/Source/gateway/load_estimate.h
@@ -87,6 +87,9 @@
   // Returns true if no request should be sent. in_flight: requests of this
   // gateway at the endpoint.
   bool Closed(int in_flight, SteadyTime now) const;
+  // The same for requests that no other endpoint can run: one rejection alone
+  // does not make their keys unavailable.
+  bool ClosedForKeys(int in_flight, SteadyTime now) const;
   // Expected probability that the endpoint rejects a request.
   double Probability(const RejectionRate& all, SteadyTime now) const;
 
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -510,7 +510,7 @@
     const RangeLease* const lease = leases_->Find(*job.key);
     EndpointLoad& owner = *loads_.at(lease->owner.ref);
     if (owner.Ejected(pass.now) ||
-        owner.rejections().Closed(owner.in_flight(), pass.now) ||
+        owner.rejections().ClosedForKeys(owner.in_flight(), pass.now) ||
         notices_.PauseLeft(lease->owner.ref, pass.now) > Milliseconds(0)) {
       return {};
     }
--- a/Tests/Gateway/load_estimate_test.cc
+++ b/Tests/Gateway/load_estimate_test.cc
@@ -92,6 +92,8 @@
   }
   const SteadyTime now = kStart + rejection.elapsed;
   BOOST_TEST(load.rejections().Closed(0, now) == rejection.closed);
+  BOOST_TEST(load.rejections().ClosedForKeys(0, now) ==
+             (rejection.closed && rejection.rejections >= 3));
   const SteadyTime later = kStart + Ms(3'000);
   BOOST_TEST(!load.rejections().Closed(0, later));
   load.OnSent(100, later, 100);
