Keep leases, fences and drains over a restore of the store

The store may come back from a copy some seconds old: offsets are given out again, and a read position, an append's condition or a fence taken from an offset no longer orders anything.

Responses now carry the era of Store-Era. EraStore drops what earlier eras answer, and makes offsets positions of an era and an offset in one integer below 2^53, equal to the offset without the header. Lease tables keep the era in which they were written; no gateway acts on a table of an earlier era, and the leader announces the new era to all gateways and grants again once every earlier lease has ended. Drains and removals that the copy lacks are kept for 30 s. The lease simulation has restores.

The end-to-end cases have not run yet.

--- a/Source/gateway/coordination_store.h
+++ b/Source/gateway/coordination_store.h
@@ -46,11 +46,20 @@
   std::optional<LogPage> page;  // empty on failure
   ReadFailure failure = ReadFailure::kUnavailable;
   std::string detail;
+  // Rises when the store was restored from an older copy; 0: it states none, or
+  // did not respond.
+  std::uint64_t era = 0;
+};
+
+struct AppendResult {
+  AppendOutcome outcome = AppendOutcome::kUnknown;
+  std::uint64_t era = 0;  // as in ReadResult
 };
 
 struct ElectionResult {
   bool reached = false;  // the store responded
   bool elected = false;
+  std::uint64_t era = 0;  // as in ReadResult
 };
 
 // The logs that a gateway reads. Gateways do not write the first two.
@@ -72,7 +81,7 @@
   // Appends a record; with expected_end only if the log ends there.
   virtual void Append(Log log, const std::string& key, const std::string& value,
                       std::optional<std::uint64_t> expected_end,
-                      std::function<void(AppendOutcome)> done) = 0;
+                      std::function<void(AppendResult)> done) = 0;
   // Joins the group from which the store elects the leader, or renews the
   // membership, which ends after time_to_live without renewal.
   virtual void JoinLeaderElection(const RouterId& gateway,
--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -39,8 +39,61 @@
 
 std::optional<EndpointRegistry::Change> EndpointRegistry::OnEntry(
     const EndpointId& id, std::optional<EndpointInfo> entry, SteadyTime now) {
+  // Appended since the restore.
+  held_.erase(id);
+  return Apply(id, std::move(entry), now);
+}
+
+std::optional<EndpointInfo> EndpointRegistry::Hold(const EndpointInfo& entry) {
+  const auto found = held_.find(entry.ref.id);
+  if (found == held_.end()) return entry;
+  Held& held = found->second;
+  if (entry.ref.incarnation > held.incarnation) {
+    held_.erase(found);
+    return entry;
+  }
+  held.listed = entry;
+  if (held.removed) return std::nullopt;
+  EndpointInfo draining = entry;
+  draining.draining = true;
+  return draining;
+}
+
+std::size_t EndpointRegistry::OnStoreRestored(SteadyTime now) {
+  std::erase_if(removed_, [&](const auto& entry) {
+    return now - entry.second.at > kMaxCopyAge;
+  });
+  // What an earlier restore still holds stays held.
+  for (const auto& [id, removed] : removed_) {
+    held_.insert_or_assign(id, Held{removed.incarnation, true, {}});
+  }
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint.draining) continue;
+    held_.insert_or_assign(id, Held{endpoint.ref.incarnation, false, {}});
+  }
+  held_until_ = now + kRestoreHold;
+  if (!store_lost_) {
+    OnStoreLost();
+    OnStoreRegained(now);
+  }
+  return held_.size();
+}
+
+void EndpointRegistry::EndHold(SteadyTime now, std::vector<Change>& changes) {
+  if (!held_until_ || now < *held_until_) return;
+  held_until_.reset();
+  for (auto& [id, held] : std::exchange(held_, {})) {
+    if (!held.listed) continue;
+    auto change = Apply(id, std::move(held.listed), now);
+    if (change) changes.push_back(std::move(*change));
+  }
+}
+
+std::optional<EndpointRegistry::Change> EndpointRegistry::Apply(
+    const EndpointId& id, std::optional<EndpointInfo> entry, SteadyTime now) {
   if (!entry) return Remove(id, now, false);
   deferred_.erase(id);
+  removed_.erase(id);
   const auto [position, added] = endpoints_.try_emplace(id, *entry);
   if (added) return Change{Change::Kind::kAdded, *entry};
   const EndpointInfo before = std::exchange(position->second, *entry);
@@ -67,6 +120,7 @@
     return Change{Change::Kind::kRemovalDeferred, found->second};
   }
   Change change{Change::Kind::kRemoved, found->second};
+  removed_.insert_or_assign(id, Removed{found->second.ref.incarnation, now});
   endpoints_.erase(found);
   deferred_.erase(id);
   return change;
@@ -76,16 +130,21 @@
     const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now,
     bool confirmed) {
   loaded_ = true;
+  std::map<EndpointId, EndpointInfo> counted;
+  for (const auto& [id, entry] : entries) {
+    if (auto held = Hold(entry)) counted.emplace(id, std::move(*held));
+  }
+  // A held drain of an endpoint that the listing lacks has nothing to undo.
   std::vector<EndpointId> missing;
   for (const auto& id : endpoints_ | std::views::keys) {
-    if (!entries.contains(id)) missing.push_back(id);
+    if (!counted.contains(id)) missing.push_back(id);
   }
   std::vector<Change> changes;
   const auto add = [&](std::optional<Change> change) {
     if (change) changes.push_back(std::move(*change));
   };
   for (const auto& id : missing) add(Remove(id, now, confirmed));
-  for (const auto& [id, entry] : entries) add(OnEntry(id, entry, now));
+  for (const auto& [id, entry] : counted) add(Apply(id, entry, now));
   return changes;
 }
 
@@ -110,6 +169,10 @@
     auto change = Remove(id, now, true);
     if (change) changes.push_back(std::move(*change));
   }
+  EndHold(now, changes);
+  std::erase_if(removed_, [&](const auto& entry) {
+    return now - entry.second.at > kMaxCopyAge;
+  });
   return changes;
 }
 
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -34,6 +34,12 @@
 // Times are of any monotonic clock, the same in all calls. Not thread-safe.
 class EndpointRegistry {
  public:
+  // The operator and the endpoints write their records again within seconds of
+  // a restore; after this time the store's listing counts as it is.
+  static constexpr Milliseconds kRestoreHold{30'000};
+  // A copy from which the store is restored is only some seconds old.
+  static constexpr Milliseconds kMaxCopyAge{60'000};
+
   struct Change {
     enum class Kind { kAdded, kChanged, kDraining, kRemoved, kRemovalDeferred };
     Kind kind = Kind::kAdded;
@@ -58,7 +64,15 @@
   // Starts the grace period after which deferred removals are due.
   void OnStoreRegained(SteadyTime now);
 
-  // Carries out the deferred removals that are due. Call it regularly.
+  // The store was restored from an older copy. For kRestoreHold, records that a
+  // listing shows do not undo a drain or a removal that was known before; an
+  // entry of a later incarnation, or one appended since, does. Removals are
+  // deferred as after a loss: what is missing may have been lost. Returns the
+  // number of endpoints that are held.
+  std::size_t OnStoreRestored(SteadyTime now);
+
+  // Carries out the deferred removals that are due, and applies what was held
+  // back for a restore. Call it regularly.
   std::vector<Change> ApplyDeferredRemovals(SteadyTime now);
 
   const std::map<EndpointId, EndpointInfo>& endpoints() const {
@@ -68,12 +82,33 @@
   bool loaded() const { return loaded_; }
 
  private:
+  struct Held {
+    std::int64_t incarnation = 0;
+    bool removed = false;                // otherwise draining
+    std::optional<EndpointInfo> listed;  // what the store shows
+  };
+
+  std::optional<Change> Apply(const EndpointId& id,
+                              std::optional<EndpointInfo> entry,
+                              SteadyTime now);
+  // Returns the entry as it counts while the hold of a restore lasts.
+  std::optional<EndpointInfo> Hold(const EndpointInfo& entry);
+  void EndHold(SteadyTime now, std::vector<Change>& changes);
   bool DefersRemovals(SteadyTime now) const;
   std::optional<Change> Remove(const EndpointId& id, SteadyTime now,
                                bool confirmed);
 
   std::map<EndpointId, EndpointInfo> endpoints_;
   std::map<EndpointId, SteadyTime> deferred_;  // due times of removals
+  // Incarnations removed lately, which an older copy of the store may still
+  // list.
+  struct Removed {
+    std::int64_t incarnation = 0;
+    SteadyTime at;
+  };
+  std::map<EndpointId, Removed> removed_;
+  std::map<EndpointId, Held> held_;
+  std::optional<SteadyTime> held_until_;
   bool store_lost_ = false;
   std::optional<SteadyTime> store_regained_at_;
   bool loaded_ = false;
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -60,6 +60,7 @@
       follow_timer_(loop),
       gateways_timer_(loop),
       register_timer_(loop),
+      restore_timer_(loop),
       stop_timer_(loop),
       give_up_timer_(loop) {}
 
@@ -154,8 +155,8 @@
 void Gateway::Impl::RegisterGateway() {
   registering_ = true;
   store_.Append(Log::kGateways, self_.id, SerializeGatewayInstance(self_),
-                std::nullopt, [this](AppendOutcome outcome) {
-                  if (outcome == AppendOutcome::kDone) return;
+                std::nullopt, [this](const AppendResult& result) {
+                  if (result.outcome == AppendOutcome::kDone) return;
                   LogInfo("router_not_registered", {{"again", "true"}});
                   RunAfter(register_timer_, kReportInterval, [this] {
                     if (!stopping_) RegisterGateway();
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -28,6 +28,7 @@
 #include "gateway/loop_watch.h"
 #include "gateway/peer_state.h"
 #include "gateway/rejected_records.h"
+#include "gateway/store_era.h"
 #include "gateway/store_follower.h"
 #include "gateway/store_proofs.h"
 #include "net/http_client.h"
@@ -70,6 +71,9 @@
 // Target of a report that an endpoint is leaving. Its body has the incarnation
 // and the id.
 inline constexpr const char* kLeavingTarget = "/leaving";
+// First part of the target with which the leader announces an era of the store;
+// the service and the era follow. The response has kSinceRenewalHeader.
+inline constexpr const char* kEraTarget = "/store-era/";
 
 // Order in which the gateways of a data centre become its reader.
 bool ReadsBefore(const GatewayInstance& a, const GatewayInstance& b);
@@ -110,6 +114,11 @@
   // after sent_at.
   void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
+  // The store was restored from an older copy: reads all logs again, and keeps
+  // what the copy would undo. What else depends on records of the operator or
+  // the endpoints (evacuations) has to be kept here.
+  void OnStoreRestored(std::uint64_t before, std::uint64_t now);
+  HttpResponse OnPeerEra(const std::string& service, std::uint64_t era);
   // The store has answered a read. Reads on if nothing else has kept the state
   // current.
   void OnStoreAnswers();
@@ -241,7 +250,7 @@
 
   boost::asio::io_context& loop_;
   GatewaySettings settings_;
-  CoordinationStore& store_;
+  EraStore store_;
   const BackendDialect& dialect_;
   const RecordParsers parsers_;
   const BootTime started_;
@@ -338,6 +347,7 @@
   boost::asio::steady_timer follow_timer_;
   boost::asio::steady_timer gateways_timer_;
   boost::asio::steady_timer register_timer_;
+  boost::asio::steady_timer restore_timer_;
   boost::asio::steady_timer stop_timer_;
   boost::asio::steady_timer give_up_timer_;
 
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -83,6 +83,7 @@
   if (!keeper) {
     keeper = std::make_unique<LeaseKeeper>(service, self_, started_);
     const BootTime now = BootClock::now();
+    keeper->OnEra(store_.era(), now);
     keeper->OnStoreReachability(!store_lost_, now);
     keeper->OnElection(elected_);
     keeper->OnAddresses(address_holders_);
@@ -299,7 +300,8 @@
             store_.Append(
                 Log::kLeases, append.table.service,
                 SerializeLeaseTable(append.table), append.expected_end,
-                [this, &keeper](AppendOutcome outcome) {
+                [this, &keeper](const AppendResult& result) {
+                  const AppendOutcome outcome = result.outcome;
                   keeper.OnAppendResult(outcome, BootClock::now());
                   if (outcome == AppendOutcome::kDone) {
                     ApplyTable(keeper, "own append");
@@ -345,7 +347,30 @@
                         });
             }
           },
-          [&](const RereadLog&) { leases_follower_->ReadNow(); }},
+          [&](const RereadLog&) { leases_follower_->ReadNow(); },
+          [&](const AnnounceEra& announce) {
+            const std::string target = kEraTarget + keeper.table().service +
+                                       "/" + std::to_string(announce.era);
+            for (const GatewayInstance& gateway : announce.recipients) {
+              ClientOf(peer_clients_, gateway.address)
+                  .Send({"POST", target, {}, "", 0}, kPeerTimeout,
+                        [&keeper, gateway, era = announce.era](
+                            const HttpClient::Outcome& outcome) {
+                          if (!outcome.response ||
+                              outcome.response->status != 200) {
+                            return;  // it is announced again later
+                          }
+                          const auto since = ParseUnsigned(FindHeader(
+                              outcome.response->headers, kSinceRenewalHeader));
+                          if (!since) return;
+                          keeper.OnEraAcknowledged(
+                              gateway, era,
+                              Milliseconds(static_cast<std::int64_t>(
+                                  std::min<std::uint64_t>(*since, 1U << 30U))),
+                              BootClock::now());
+                        });
+            }
+          }},
       action);
 }
 
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -80,6 +80,10 @@
 
 void Gateway::Impl::ApplyPeerState(PeerState state, BootTime sent) {
   if (!state.store_reachable) return;
+  // What a gateway has of an earlier era may be lost; one that is out of range
+  // cannot be ordered.
+  const EraVerdict verdict = store_.Observe(state.store_era);
+  if (verdict != EraVerdict::kCurrent && verdict != EraVerdict::kNew) return;
   // Gateways of earlier versions state no age: what they have counts as new.
   const BootTime now = BootClock::now();
   const LogProof config =
@@ -94,8 +98,16 @@
     OnRegistryChanges(registry_.OnListing(
         *state.endpoints, std::chrono::steady_clock::now(), true));
   }
-  for (LeaseTable& table : state.tables) AdoptTable(std::move(table), "peer");
+  // Positions of an era that the gateway does not claim to know are malformed.
+  const auto of_known_era = [this](std::uint64_t position) {
+    return store_.era() == 0 || EraOf(position) <= store_.era();
+  };
+  for (LeaseTable& table : state.tables) {
+    if (of_known_era(table.version)) AdoptTable(std::move(table), "peer");
+  }
+  if (!of_known_era(state.leases_end)) return;
   for (auto& keeper : keepers_ | std::views::values) {
+    keeper->OnEra(EraOf(state.leases_end), now);
     keeper->OnLogEnd(state.leases_end, sent - state.leases_age);
   }
   RespondToLongPolls(false);
@@ -361,6 +373,7 @@
   const BootTime now = BootClock::now();
   // Without a keeper, this gateway has not read the leases.
   BootTime confirmed = keepers_.empty() ? BootTime{} : now;
+  state.store_era = store_.era();
   state.leases_end = LeasesEnd();
   for (const auto& keeper : keepers_ | std::views::values) {
     confirmed = std::min(confirmed, keeper->confirmed_at());
@@ -383,6 +396,8 @@
   if (!registering_) return {503, {}, ""};
   auto table = ParseLeaseTable(body, service, version);
   if (!table) return {400, {}, table.error().detail};
+  // An earlier era is over. A later one is announced, not taken from a version.
+  if (EraOf(version) != store_.era()) return {409, {}, ""};
   AdoptTable(std::move(table.value()), "mover");
   LeaseKeeper& keeper = Keeper(service);
   if (keeper.table().version < version) return {409, {}, ""};
@@ -392,6 +407,23 @@
           ""};
 }
 
+HttpResponse Gateway::Impl::OnPeerEra(const std::string& service,
+                                      std::uint64_t era) {
+  if (!registering_) return {503, {}, ""};
+  const EraVerdict verdict = store_.Observe(era);
+  if (verdict == EraVerdict::kInvalid) return {400, {}, ""};
+  if (verdict == EraVerdict::kEarlier) return {409, {}, ""};
+  const BootTime now = BootClock::now();
+  // Without a keeper, this process has granted nothing since it started.
+  auto since = std::chrono::duration_cast<Milliseconds>(now - started_);
+  const auto keeper = keepers_.find(service);
+  if (keeper != keepers_.end()) {
+    keeper->second->OnEra(era, now);
+    since = keeper->second->SinceRenewal(now);
+  }
+  return {200, {{kSinceRenewalHeader, std::to_string(since.count())}}, ""};
+}
+
 HttpResponse Gateway::Impl::OnPeerLeaving(const std::string& body) {
   const auto space = body.find(' ');
   const auto incarnation = ParseUnsigned(body.substr(0, space));
@@ -449,6 +481,10 @@
     const auto version = ParseUnsigned(parts[3]);
     if (version) return respond(OnPeerTable(parts[2], *version, request.body));
   }
+  if (parts.size() == 4 && "/" + parts[1] + "/" == kEraTarget) {
+    const auto era = ParseUnsigned(parts[3]);
+    if (era) return respond(OnPeerEra(parts[2], *era));
+  }
   if (parts.size() == 3 && parts[1] == "load" && IsShardedByKey(parts[2])) {
     const BootTime now = BootClock::now();
     Keeper(parts[2]).load().Add(DecodeKeys(request.body), now);
--- a/Source/gateway/gateway_state_search.cc
+++ b/Source/gateway/gateway_state_search.cc
@@ -48,6 +48,7 @@
 }
 
 bool Gateway::Impl::IsCurrent(const PeerState& state, BootTime sent) const {
+  if (state.store_era < store_.era()) return false;
   const BootTime now = BootClock::now();
   const auto is_current = [&](const std::optional<ProofAge>& age) {
     return now - ProofFrom(age.value_or(ProofAge{}), sent, now).as_of <=
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -54,6 +54,9 @@
 
 void Gateway::Impl::FollowLogs() {
   using Times = StoreFollower::PageTimes;
+  store_.set_restore_handler([this](std::uint64_t before, std::uint64_t now) {
+    OnStoreRestored(before, now);
+  });
   const auto follow = [this](StoreFollower::Options options,
                              StoreFollower::PageHandler handler) {
     return std::make_unique<StoreFollower>(
@@ -148,6 +151,31 @@
   }
 }
 
+void Gateway::Impl::OnStoreRestored(std::uint64_t before, std::uint64_t now) {
+  const BootTime boot = BootClock::now();
+  const std::size_t held =
+      registry_.OnStoreRestored(std::chrono::steady_clock::now());
+  for (auto& keeper : keepers_ | std::views::values) keeper->OnEra(now, boot);
+  metrics_.Set("store_era", "", static_cast<double>(now));
+  metrics_.Add("store_restores_total", "", 1);
+  LogEvent(EventLevel::kWarning, "store_restored", 0,
+           {{"before", std::to_string(before)},
+            {"era", std::to_string(now)},
+            {"read_again",
+             reads_store_ ? "config,registry,leases,gateways" : "gateways"},
+            {"held_endpoints", std::to_string(held)}});
+  // The restored list may lack this gateway, which only itself writes again.
+  if (registering_ && !stopping_) {
+    RunAfter(register_timer_, Milliseconds(0), [this] { RegisterGateway(); });
+  }
+  // Not at once: this runs within the handling of a response.
+  RunAfter(restore_timer_, Milliseconds(0), [this] {
+    ReadAllLogsNow();
+    gateways_follower_->ReadNow();
+    RespondToLongPolls(true);
+  });
+}
+
 void Gateway::Impl::OnConfigPage(const LogPage& page, BootTime as_of) {
   const LoopWatch::Step step(loop_watch_, "config");
   // Only the newest version is applied. It need not be the last one.
@@ -253,6 +281,9 @@
 }
 
 void Gateway::Impl::ReportStateAge(BootTime now) {
+  if (store_.era() > 0) {
+    metrics_.Set("store_era", "", static_cast<double>(store_.era()));
+  }
   for (const Log log : StoreProofs::kLogs) {
     const LogProof& proof = proofs_.Of(log);
     if (proof.as_of == BootTime{}) continue;
@@ -378,7 +409,7 @@
       on_lost();
       continue;
     }
-    auto table = ParseLeaseTable(*record.value, record.key, record.offset + 1);
+    auto table = ParseStoredTable(*record.value, record.key, record.offset + 1);
     if (!table) {
       if (rejected_records_.Add(Log::kLeases, record.key)) {
         LogEvent(EventLevel::kError, "lease_table_rejected",
@@ -393,6 +424,7 @@
   }
   if (page.next < page.log_end) return;
   for (auto& keeper : keepers_ | std::views::values) {
+    keeper->OnEra(EraOf(page.log_end), BootClock::now());
     keeper->OnLogEnd(page.log_end, as_of);
   }
 }
--- a/Source/gateway/lease_keeper.cc
+++ b/Source/gateway/lease_keeper.cc
@@ -5,6 +5,8 @@
 #include <iterator>
 #include <ranges>
 
+#include "gateway/log_position.h"
+
 namespace balsamhall::gateway {
 namespace {
 
@@ -46,6 +48,7 @@
 // lost, at least one of eight renewers remains in all but one case of 256.
 constexpr std::size_t kMaxRenewers = 8;
 constexpr Milliseconds kRenewerUpdateInterval{4'000};
+constexpr Milliseconds kEraAnnounceInterval{250};
 constexpr Milliseconds kConfirmBatchDelay{250};
 // Typical time of a move whose previous holder responds.
 constexpr Milliseconds kTypicalMoveTime{150};
@@ -117,10 +120,11 @@
 }
 
 bool LeaseKeeper::is_leader() const {
-  return table_.version > 0 && table_.leader == self_;
+  return table_.version > 0 && table_.leader == self_ && ActsOnTable();
 }
 
 void LeaseKeeper::OnTable(LeaseTable table, BootTime now) {
+  OnEra(EraOf(table.version), now);
   if (table.version <= table_.version) return;
   table.service = service_;
   KeepProgressOfParts(table);
@@ -180,7 +184,86 @@
   if (version > table_.version) record_lost_ = true;
 }
 
+void LeaseKeeper::OnEra(std::uint64_t era, BootTime now) {
+  if (era <= era_) return;
+  era_ = era;
+  era_known_at_ = now;
+  next_era_announcement_ = {};
+}
+
+void LeaseKeeper::OnEraAcknowledged(const GatewayInstance& gateway,
+                                    std::uint64_t era,
+                                    Milliseconds since_renewal, BootTime now) {
+  const auto since =
+      std::clamp(since_renewal, Milliseconds(0), Milliseconds(kMaxViewAge));
+  era_acknowledgements_[gateway.id] = {gateway.incarnation, era, now - since};
+}
+
+// Returns whether the table is of the latest era: an earlier one may have been
+// replaced by a record that was lost.
+bool LeaseKeeper::ActsOnTable() const {
+  return !guards_.act_in_current_era_only || EraOf(table_.version) == era_;
+}
+
+// Gateways that may have sent grants for tables of earlier eras: also for those
+// that were lost, whose renewers are unknown.
+std::vector<GatewayInstance> LeaseKeeper::PossibleGranters() const {
+  std::vector<GatewayInstance> granters;
+  const auto add = [&](const GatewayInstance& gateway) {
+    if (gateway.id.empty() || gateway.id == self_.id) return;
+    const auto known =
+        std::ranges::find(granters, gateway.id, &GatewayInstance::id);
+    if (known == granters.end()) {
+      granters.push_back(gateway);
+    } else if (known->incarnation < gateway.incarnation) {
+      *known = gateway;
+    }
+  };
+  add(table_.leader);
+  std::ranges::for_each(table_.renewers, add);
+  std::ranges::for_each(gateways_, add);
+  return granters;
+}
+
+// Returns when all leases of earlier eras have ended. No read of an earlier era
+// was sent after this gateway had learnt of the era, so no view of one lasts
+// longer than kMaxViewAge from then on.
+BootTime LeaseKeeper::EarlierErasEnd() const {
+  const Milliseconds grant_time = kCallTimeout + MaxLeaseTime();
+  // Covers the grants of this gateway, and of those that have ended.
+  BootTime end = era_known_at_ + grant_time;
+  for (const GatewayInstance& gateway : PossibleGranters()) {
+    const auto said = era_acknowledgements_.find(gateway.id);
+    const bool stopped = said != era_acknowledgements_.end() &&
+                         said->second.incarnation >= gateway.incarnation &&
+                         said->second.era >= era_;
+    const BootTime last =
+        stopped ? said->second.last_renewal : era_known_at_ + kMaxViewAge;
+    end = std::max(end, last + grant_time);
+  }
+  return end;
+}
+
+bool LeaseKeeper::EarlierErasEnded(BootTime now) const {
+  return era_ == 0 || !guards_.wait_for_earlier_eras ||
+         table_.settled_era == era_ || now >= EarlierErasEnd();
+}
+
+void LeaseKeeper::AnnounceEraIfNeeded(BootTime now,
+                                      std::vector<LeaseAction>& actions) {
+  if (now < next_era_announcement_ || EarlierErasEnded(now)) return;
+  next_era_announcement_ = now + kEraAnnounceInterval;
+  AnnounceEra announce{era_, PossibleGranters()};
+  std::erase_if(announce.recipients, [this](const GatewayInstance& gateway) {
+    const auto said = era_acknowledgements_.find(gateway.id);
+    return said != era_acknowledgements_.end() && said->second.era >= era_ &&
+           said->second.incarnation >= gateway.incarnation;
+  });
+  if (!announce.recipients.empty()) actions.emplace_back(std::move(announce));
+}
+
 void LeaseKeeper::OnLogEnd(std::uint64_t end, BootTime as_of) {
+  if (guards_.ignore_earlier_eras && EraOf(end) < era_) return;
   log_end_ = std::max(log_end_, end);
   log_end_known_ = true;
   confirmed_at_ = std::max(confirmed_at_, as_of);
@@ -286,7 +369,7 @@
 
 void LeaseKeeper::RenewLeases(BootTime now, Milliseconds interval,
                               std::vector<LeaseAction>& actions) {
-  if (!MayRenew(now)) return;
+  if (!MayRenew(now) || !ActsOnTable()) return;
   for (const RangeLease& lease : table_.ranges) {
     if (IsSuperseded(lease.owner)) continue;
     Progress& progress = ProgressOf(lease);
@@ -473,6 +556,7 @@
   if (progress.connection == 0 && !owner_ended) {
     Open(lease, progress, now, actions);
   }
+  if (!EarlierErasEnded(now)) return;
   const bool releasing = progress.call != 0 && progress.releasing;
   if ((progress.call != 0 && !releasing) || now < progress.next_call) return;
   if (PreviousLeaseEnded(lease, progress, now)) {
@@ -554,6 +638,9 @@
   next.service = service_;
   next.version = log_end_ + 1;
   next.leader = self_;
+  if (era_ > 0 && ActsOnTable() && EarlierErasEnded(now)) {
+    next.settled_era = era_;
+  }
   AddRenewers(next);
   appending_ = next;
   std::optional<std::uint64_t> expected_end;
@@ -586,9 +673,15 @@
   }
   AddEvent("mover_takeover", "from " + table_.leader.id);
   // The previous leader's connections to the holders are not known here.
+  const bool new_era = EraOf(table_.version) != era_;
   LeaseTable next = table_;
-  std::ranges::for_each(next.ranges, [this](RangeLease& lease) {
-    if (lease.granted) lease.previous = lease.owner;
+  std::ranges::for_each(next.ranges, [&](RangeLease& lease) {
+    if (lease.granted) {
+      lease.previous = lease.owner;
+    } else if (new_era && lease.previous != lease.owner) {
+      // The previous holder's leases end with all others of earlier eras.
+      lease.previous = {};
+    }
     lease.fence = log_end_ + 1;
     lease.granted = false;
   });
@@ -702,7 +795,7 @@
 }
 
 bool LeaseKeeper::PlanChanges(BootTime now, std::vector<LeaseAction>& actions) {
-  if (now < next_plan_) return false;
+  if (now < next_plan_ || !EarlierErasEnded(now)) return false;
   next_plan_ = now + kPlanInterval;
   const auto usable = UsableEndpoints(now);
   if (usable.empty()) return false;
@@ -802,8 +895,10 @@
     MoveRanges(now, actions);
     PublishIfNeeded(now, actions);
   }
+  if (elected_) AnnounceEraIfNeeded(now, actions);
   if (appending_ || !store_reachable_) return actions;
-  if (!log_end_known_) {
+  if (!log_end_known_ ||
+      (guards_.act_in_current_era_only && EraOf(log_end_) != era_)) {
     actions.emplace_back(RereadLog{});
     return actions;
   }
--- a/Source/gateway/lease_keeper.h
+++ b/Source/gateway/lease_keeper.h
@@ -67,9 +67,16 @@
 };
 // Reads the log again at once, because the known table may be out of date.
 struct RereadLog {};
+// Tells these gateways the era of the store. OnEraAcknowledged takes their
+// responses.
+struct AnnounceEra {
+  std::uint64_t era = 0;
+  std::vector<GatewayInstance> recipients;
+};
 
-using LeaseAction = std::variant<AppendTable, OpenConnection, GrantCall,
-                                 ReleaseCall, PublishTable, RereadLog>;
+using LeaseAction =
+    std::variant<AppendTable, OpenConnection, GrantCall, ReleaseCall,
+                 PublishTable, RereadLog, AnnounceEra>;
 
 enum class CallOutcome {
   kDone,
@@ -140,6 +147,10 @@
     bool limit_view_age = true;
     bool conditional_append = true;
     bool bind_lease_to_connection = true;
+    // Of the eras of the store:
+    bool ignore_earlier_eras = true;
+    bool act_in_current_era_only = true;
+    bool wait_for_earlier_eras = true;
   };
 
   // started: when this process started.
@@ -154,9 +165,18 @@
   // it, with a record that would have this version. The leader appends the
   // table again, because a gateway that starts later finds no other one.
   void OnRecordLost(std::uint64_t version);
-  // Reports that the log ended at this offset and that all records before it
-  // were applied. as_of: when the read was sent.
+  // Reports that the log ended at this position and that all records before it
+  // were applied. as_of: when the read was sent. One of an earlier era has no
+  // effect. Precondition: OnEra was called for its era.
   void OnLogEnd(std::uint64_t end, BootTime as_of);
+  // Reports the era of the store; one that is not later than the known one has
+  // no effect. From then on this gateway sends no grants and releases for a
+  // table of an earlier era.
+  void OnEra(std::uint64_t era, BootTime now);
+  // Reports that a gateway sends no more calls for tables of an era before this
+  // one. since_renewal: the SinceRenewal of that gateway.
+  void OnEraAcknowledged(const GatewayInstance& gateway, std::uint64_t era,
+                         Milliseconds since_renewal, BootTime now);
   // Reports whether this gateway reaches the store.
   void OnStoreReachability(bool reachable, BootTime now);
   // Reports whether this gateway is the elected leader.
@@ -191,11 +211,13 @@
   Milliseconds SinceRenewal(BootTime now) const;
 
   const LeaseTable& table() const { return table_; }
-  // Offset at which the log ended at the last confirmation, and its time.
+  // Position at which the log ended at the last confirmation, and its time.
   std::uint64_t log_end() const { return log_end_; }
   BootTime confirmed_at() const { return confirmed_at_; }
-  // Whether the table names this process as leader.
+  // Whether the table is of the latest era and names this process as leader.
   bool is_leader() const;
+  // Latest known era of the store; 0: it states none.
+  std::uint64_t era() const { return era_; }
   KeyLoad& load() { return load_; }
   // Returns and clears the events since the last call.
   std::vector<LeaseEvent> TakeEvents();
@@ -255,6 +277,11 @@
   void RecordLeaseEnd(const EndpointRef& endpoint, BootTime end);
   std::vector<EligibleEndpoint> UsableEndpoints(BootTime now);
   void PublishIfNeeded(BootTime now, std::vector<LeaseAction>& actions);
+  bool ActsOnTable() const;
+  std::vector<GatewayInstance> PossibleGranters() const;
+  BootTime EarlierErasEnd() const;
+  bool EarlierErasEnded(BootTime now) const;
+  void AnnounceEraIfNeeded(BootTime now, std::vector<LeaseAction>& actions);
   bool Append(LeaseTable next, BootTime now, std::vector<LeaseAction>& actions);
   bool TakeOver(BootTime now, std::vector<LeaseAction>& actions);
   bool RestoreRecord(BootTime now, std::vector<LeaseAction>& actions);
@@ -315,6 +342,16 @@
   bool many_unreachable_ = false;
   std::map<RouterId, Adoption> adoptions_;
   BootTime last_renewal_;
+  std::uint64_t era_ = 0;
+  BootTime era_known_at_;
+  BootTime next_era_announcement_;
+  // What other gateways said about the era; only those of era_ count.
+  struct EraAcknowledgement {
+    std::uint64_t incarnation = 0;
+    std::uint64_t era = 0;
+    BootTime last_renewal;  // latest possible time
+  };
+  std::map<RouterId, EraAcknowledgement> era_acknowledgements_;
   KeyLoad load_;
   std::vector<LeaseEvent> events_;
 };
--- a/Source/gateway/lease_table.cc
+++ b/Source/gateway/lease_table.cc
@@ -5,10 +5,16 @@
 
 #include "core/config_rules.h"
 #include "gateway.pb.h"
+#include "gateway/log_position.h"
+#include "gateway/wire_numbers.h"
 
 namespace balsamhall::gateway {
 namespace {
 
+// Fields of LeaseTableRecord.
+constexpr int kEraField = 4;
+constexpr int kSettledEraField = 5;
+
 schema::LeaseHolderRecord ToRecord(const LeaseHolder& holder) {
   schema::LeaseHolderRecord record;
   record.set_endpoint(holder.ref.id);
@@ -98,6 +104,8 @@
   for (const auto& lease : table.ranges) {
     *record.add_ranges() = ToRecord(lease);
   }
+  SetNumber(record, kEraField, EraOf(table.version));
+  SetNumber(record, kSettledEraField, table.settled_era);
   return record.SerializeAsString();
 }
 
@@ -115,6 +123,7 @@
       });
   if (!complete) return Malformed("range without owner or fence");
   LeaseTable table;
+  table.settled_era = NumberOf(record, kSettledEraField);
   table.leader = FromRecord(record.mover());
   std::ranges::transform(record.renewers(), std::back_inserter(table.renewers),
                          [](const auto& entry) { return FromRecord(entry); });
@@ -138,6 +147,18 @@
   return table;
 }
 
+Result<LeaseTable> ParseStoredTable(std::string_view bytes,
+                                    const ServiceId& service,
+                                    std::uint64_t end) {
+  schema::LeaseTableRecord record;
+  if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Malformed("not a lease table");
+  }
+  const std::uint64_t era = NumberOf(record, kEraField);
+  if (era > EraOf(end)) return Malformed("record of a later era");
+  return ParseLeaseTable(bytes, service, LogPosition(era, OffsetOf(end)));
+}
+
 std::string SerializeGatewayInstance(const GatewayInstance& gateway) {
   return ToRecord(gateway).SerializeAsString();
 }
--- a/Source/gateway/lease_table.h
+++ b/Source/gateway/lease_table.h
@@ -70,8 +70,12 @@
 
 struct LeaseTable {
   ServiceId service;
-  // Offset of the table's record plus one; 0: no table. Fences are versions.
+  // Position (log_position.h) after the table's record, in the era in which it
+  // was written; 0: no table. Fences are versions.
   std::uint64_t version = 0;
+  // The leader has shown that no lease of an era before this one can be
+  // running. Without eras, 0.
+  std::uint64_t settled_era = 0;
   GatewayInstance leader;  // appended the record
   // May renew leases while the store is unreachable.
   std::vector<GatewayInstance> renewers;
@@ -92,6 +96,14 @@
                                    const ServiceId& service,
                                    std::uint64_t version);
 
+// Parses a record that was read from the store. end: position after it. A
+// record that came back with a restored store keeps the version of the era in
+// which it was written, so it does not count as newer than what was lost. Also
+// returns kLogRecordMalformed for a record of a later era than that of end.
+Result<LeaseTable> ParseStoredTable(std::string_view bytes,
+                                    const ServiceId& service,
+                                    std::uint64_t end);
+
 // Codec of the record with which a gateway registers in the store, with its id
 // as the key. ParseGatewayInstance returns kLogRecordMalformed for other bytes,
 // for another gateway's key and for an address that is not ip:port.
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -9,6 +9,7 @@
 #include <ranges>
 
 #include "gateway.pb.h"
+#include "gateway/wire_numbers.h"
 
 namespace balsamhall::gateway {
 namespace {
@@ -20,6 +21,8 @@
 constexpr std::uint64_t kMaxLeasesAgeMs = 86'400'000;
 // Far above what a fleet has; keeps sums away from overflow.
 constexpr unsigned kMaxHops = 1'000;
+// Field of PeerStateRecord.
+constexpr int kStoreEraField = 18;
 
 schema::EndpointRecord ToRecord(const EndpointInfo& endpoint) {
   schema::EndpointRecord record;
@@ -140,6 +143,7 @@
     published.set_version(table.version);
     published.mutable_table()->ParseFromString(SerializeLeaseTable(table));
   }
+  SetNumber(record, kStoreEraField, state.store_era);
   record.set_leases_end(state.leases_end);
   record.set_leases_age_ms(
       static_cast<std::uint64_t>(state.leases_age.count()));
@@ -182,6 +186,7 @@
     if (!table) return table.error();
     state.tables.push_back(std::move(table.value()));
   }
+  state.store_era = NumberOf(record, kStoreEraField);
   state.leases_end = record.leases_end();
   state.leases_age = Milliseconds(static_cast<std::int64_t>(
       std::min(record.leases_age_ms(), kMaxLeasesAgeMs)));
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -61,6 +61,8 @@
   std::optional<std::map<EndpointId, EndpointInfo>> endpoints;
   std::vector<LeaseTable> tables;  // newer than the request's leases_end
   std::uint64_t leases_end = 0;
+  // Latest era of the store that the gateway knows; 0: it states none.
+  std::uint64_t store_era = 0;
   // Time since the log was known to end there; at most a day when parsed.
   Milliseconds leases_age{0};
 };
--- a/Tests/Gateway/lease_random_test.cc
+++ b/Tests/Gateway/lease_random_test.cc
@@ -43,6 +43,19 @@
   BOOST_TEST(result.moves > 0);
 }
 
+// Guards against a lease, a fence or a table of an earlier era of the store
+// that counts in a later one.
+BOOST_DATA_TEST_CASE(one_holder_when_the_store_comes_back_from_a_copy,
+                     data::xrange(Seeds().first, Seeds().second), seed) {
+  const auto result = RunLeaseSimulation(seed, {}, {.restores = true});
+  BOOST_TEST(!result.fence_violation.has_value(),
+             result.fence_violation.value_or(""));
+  BOOST_TEST(!result.violation.has_value(), result.violation.value_or(""));
+  BOOST_TEST(!result.unserved.has_value(), result.unserved.value_or(""));
+  BOOST_TEST_MESSAGE("restores " << result.restores << " unserved steps "
+                                 << result.unserved_steps);
+}
+
 struct GuardCase {
   const char* name;
   LeaseKeeper::Guards guards;
--- a/Tests/Gateway/lease_simulation.cc
+++ b/Tests/Gateway/lease_simulation.cc
@@ -6,6 +6,9 @@
 #include <ranges>
 #include <set>
 
+#include "gateway/log_position.h"
+#include "gateway/store_era.h"
+
 namespace balsamhall::gateway {
 namespace {
 
@@ -32,6 +35,11 @@
 // A key is served again within this time (the users' target): while it moves,
 // it has no holder.
 constexpr Ms kMaxUnservedTime{2'000};
+// Share of restores of the store among the faults, where they happen.
+constexpr double kRestoreShare = 0.25;
+constexpr std::size_t kMaxLostRecords = 6;
+// Probability that the response to a read arrives a second time, late.
+constexpr double kLateReadRate = 0.1;
 // Keys that are checked: the middle of each cell of 1,024 keys.
 constexpr std::size_t kWatchedKeys = 64;
 
@@ -69,6 +77,7 @@
           options_));
       registry_.push_back({endpoints_.back()->holder()});
     }
+    if (options.restores) era_ = 1;
     gateways_.resize(kGateways);
     for (std::size_t i = 0; i < kGateways; ++i) StartGateway(i);
   }
@@ -101,7 +110,9 @@
     bool store_cut = false;
     std::array<bool, kEndpoints> endpoint_cut{};
     bool believes_elected = false;
-    std::size_t read_to = 0;  // number of log records read
+    std::size_t number = 0;
+    std::size_t read_to = 0;     // number of log records read
+    std::uint64_t read_era = 0;  // of the store, at the last read
     BootTime next_read;
     // The process that each lease connection leads to.
     std::map<std::uint64_t, EndpointRef> lease_connections;
@@ -150,6 +161,8 @@
     Gateway& gateway = gateways_[index];
     gateway = {};
     gateway.incarnation = ++incarnation_;
+    gateway.number = index;
+    gateway.read_era = era_;
     gateway.keeper = std::make_unique<LeaseKeeper>("service", Instance(index),
                                                    now_, guards_);
     if (elected_ == index) elected_ = Pick(kGateways);
@@ -255,13 +268,27 @@
     connection.keys.insert(key);
   }
 
+  // Reads the log again if the store was restored since the last read.
   void ReadLog(Gateway& gateway) {
+    LeaseKeeper& keeper = *gateway.keeper;
+    keeper.OnEra(era_, now_);
+    if (std::exchange(gateway.read_era, era_) != era_) gateway.read_to = 0;
+    gateway.read_to = std::min(gateway.read_to, log_.size());
     for (; gateway.read_to < log_.size(); ++gateway.read_to) {
       LeaseTable table = log_[gateway.read_to];
-      table.version = gateway.read_to + 1;
-      gateway.keeper->OnTable(std::move(table), now_);
+      // As ParseStoredTable().
+      const std::uint64_t era =
+          options_.old_records_count_as_new ? era_ : EraOf(table.version);
+      table.version = LogPosition(era, gateway.read_to + 1);
+      keeper.OnTable(std::move(table), now_);
+    }
+    // The same response may also arrive late, once more.
+    if (options_.restores && Chance(kLateReadRate)) {
+      Deliver(gateway.number, gateway.incarnation, Between(100, 3'000),
+              [end = LogPosition(era_, log_.size()),
+               sent = now_](LeaseKeeper& late) { late.OnLogEnd(end, sent); });
     }
-    gateway.keeper->OnLogEnd(log_.size(), now_);
+    keeper.OnLogEnd(LogPosition(era_, log_.size()), now_);
     gateway.keeper->OnGateways(Gateways());
     std::map<std::string, AddressHolder> addresses;
     for (const EligibleEndpoint& endpoint : Registered()) {
@@ -287,6 +314,7 @@
                           [&](const GrantCall& a) { DoGrant(index, a); },
                           [&](const ReleaseCall& a) { DoRelease(index, a); },
                           [&](const PublishTable& a) { DoPublish(index, a); },
+                          [&](const AnnounceEra& a) { DoAnnounce(index, a); },
                           [&](const RereadLog&) {
                             if (ReachesStore(gateways_[index])) {
                               ReadLog(gateways_[index]);
@@ -308,18 +336,24 @@
     }
     const bool lost = Chance(append_loss_rate_);
     const bool late = lost && Chance(0.5);
-    After(late ? Between(500, 4'000) : Between(5, 40), [this, append, answer,
-                                                        lost] {
-      const bool done =
-          !append.expected_end || *append.expected_end == log_.size();
-      if (done) {
-        log_.push_back(append.table);
-        ++result_.moves;
-      }
-      if (!lost) {
-        answer(Ms(5), done ? AppendOutcome::kDone : AppendOutcome::kConflict);
-      }
-    });
+    After(late ? Between(500, 4'000) : Between(5, 40),
+          [this, append, answer, lost] {
+            // The store knows offsets only.
+            const bool done = !append.expected_end ||
+                              OffsetOf(*append.expected_end) == log_.size();
+            if (done) {
+              log_.push_back(append.table);
+              ++result_.moves;
+            }
+            if (!lost) {
+              const AppendResult result{
+                  done ? AppendOutcome::kDone : AppendOutcome::kConflict, era_};
+              answer(Ms(5), options_.trust_appends_of_any_era
+                                ? result.outcome
+                                : JudgeAppend(result, EraVerdict::kCurrent,
+                                              append.expected_end));
+            }
+          });
     if (lost) answer(Ms(1'000), AppendOutcome::kUnknown);
   }
 
@@ -497,7 +531,44 @@
     }
   }
 
+  void DoAnnounce(std::size_t index, const AnnounceEra& announce) {
+    for (const GatewayInstance& recipient : announce.recipients) {
+      const auto number = static_cast<std::size_t>(recipient.address[0] - '0');
+      Gateway& other = gateways_[number];
+      if (!other.up || now_ < other.paused_until ||
+          (other.store_cut && Chance(0.7))) {
+        continue;
+      }
+      other.keeper->OnEra(announce.era, now_);
+      // The response comes from whichever process serves at the address.
+      Deliver(index, gateways_[index].incarnation, Ms(20),
+              [this, process = Instance(number),
+               since = other.keeper->SinceRenewal(now_),
+               era = announce.era](LeaseKeeper& keeper) {
+                keeper.OnEraAcknowledged(process, era, since, now_);
+              });
+    }
+  }
+
+  // The store is away for a moment and returns without its last records.
+  void RestoreStore() {
+    store_up_ = false;
+    const std::size_t lost = Pick(kMaxLostRecords + 1);
+    // Some gateways do not learn of it for a while.
+    for (std::size_t i = 0; i < kGateways; ++i) {
+      if (Chance(0.2)) CutFromStore(i);
+    }
+    After(Between(100, 3'000), [this, lost] {
+      log_.resize(log_.size() - std::min(lost, log_.size()));
+      ++era_;
+      ++result_.restores;
+      if (Chance(0.5)) elected_ = Pick(kGateways);
+      store_up_ = true;
+    });
+  }
+
   void InjectFault() {
+    if (options_.restores && Chance(kRestoreShare)) return RestoreStore();
     const std::size_t gateway = Pick(kGateways);
     const std::size_t endpoint = Pick(kEndpoints);
     const std::size_t fault = Pick(faults_);
@@ -649,7 +720,9 @@
       const auto holds = [&](const auto& endpoint) {
         return endpoint->up && endpoint->Holds(key, now_);
       };
-      if (std::ranges::count_if(endpoints_, holds) > 1) {
+      const auto holders = std::ranges::count_if(endpoints_, holds);
+      if (holders == 0) ++result_.unserved_steps;
+      if (holders > 1) {
         result_.violation =
             "key " + std::to_string(key) + " has two holders at " + Now();
         for (const auto& endpoint : endpoints_ | std::views::filter(holds)) {
@@ -750,6 +823,7 @@
   std::map<ShardKey, std::vector<Taken>> taken_;
   std::vector<Gateway> gateways_;
   std::vector<LeaseTable> log_;
+  std::uint64_t era_ = 0;  // 0: the store states none
   std::uint64_t last_connection_ = 0;
   bool store_up_ = true;
   std::size_t elected_ = 0;
--- a/Tests/Gateway/lease_simulation.h
+++ b/Tests/Gateway/lease_simulation.h
@@ -23,6 +23,13 @@
   // Endpoints also end and start again, under the same or another id, while the
   // registry shows the ended process.
   bool hidden_restarts = false;
+  // The store states eras, and comes back from a copy that lacks its last
+  // records.
+  bool restores = false;
+  // Records that come back are taken for records of the new era.
+  bool old_records_count_as_new = false;
+  // An append counts as done or not, whatever era its response states.
+  bool trust_appends_of_any_era = false;
 };
 
 // The process at an endpoint's address, with the grants, fences and releases
@@ -67,6 +74,9 @@
   std::optional<std::string> fence_violation;
   std::optional<std::string> unserved;  // a key without holder at the end
   int moves = 0;                        // appended tables
+  int restores = 0;
+  // Steps at which a watched key had no holder, summed over the keys.
+  int unserved_steps = 0;
 };
 
 // Runs one seed: about a minute with faults, then a recovery phase without
