--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -69,6 +69,8 @@
   std::uint64_t leases_end = 0;
   // Empty from gateways that know none yet, and of earlier versions.
   std::optional<EvacuatedSet> evacuations;
+  // Latest era of the store that the gateway knows; 0: it states none.
+  std::uint64_t store_era = 0;
   // Time since the log was known to end there; at most a day when parsed.
   Milliseconds leases_age{0};
 };
