Keep evacuations over a restore of the store

A store that comes back from an older copy may lack a record of an evacuation that the operator writes again within seconds. Reading its newest records would have ended the evacuation meanwhile. Known evacuations now stay until a record of the new era ends them, or for 30 s, as drains of endpoints do.

Test: an_evacuation_is_not_undone_by_a_restore.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -204,6 +204,7 @@
   const BootTime now = BootClock::now();
   OnRegistryChanges(
       registry_.ApplyDeferredRemovals(std::chrono::steady_clock::now()));
+  ApplyEvacuations(evacuations_.EndHold(now), "restore");
   for (auto& [service, keeper] : keepers_) {
     if (!IsShardedByKey(service)) continue;
     for (const LeaseAction& action : keeper->Tick(now)) Apply(*keeper, action);
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -159,6 +159,7 @@
   const BootTime boot = BootClock::now();
   const std::size_t held =
       registry_.OnStoreRestored(std::chrono::steady_clock::now());
+  evacuations_.OnStoreRestored(boot);
   for (auto& keeper : keepers_ | std::views::values) keeper->OnEra(now, boot);
   metrics_.Set("store_era", "", static_cast<double>(now));
   metrics_.Add("store_restores_total", "", 1);
--- a/Source/gateway/placement_limits.cc
+++ b/Source/gateway/placement_limits.cc
@@ -38,6 +38,7 @@
   if (!is_snapshot) data_centres = Names(since_);
   for (const Record& record : records) {
     if (!is_snapshot && record.offset < offset_) continue;
+    held_.erase(record.data_centre);
     if (record.begins) {
       data_centres.insert(record.data_centre);
     } else {
@@ -61,8 +62,24 @@
   return changes;
 }
 
+void Evacuations::OnStoreRestored(BootTime now) {
+  held_ = Names(since_);
+  held_until_ = now + kRestoreHold;
+}
+
+std::vector<Evacuations::Change> Evacuations::EndHold(BootTime now) {
+  if (!held_until_ || now < *held_until_) return {};
+  held_until_.reset();
+  std::vector<Change> changes;
+  for (const std::string& name : std::exchange(held_, {})) {
+    if (since_.erase(name) > 0) changes.push_back({name, false});
+  }
+  return changes;
+}
+
 std::vector<Evacuations::Change> Evacuations::Replace(
-    const std::set<std::string>& data_centres) {
+    std::set<std::string> data_centres) {
+  data_centres.insert(held_.begin(), held_.end());
   std::vector<Change> changes;
   std::erase_if(since_, [&](const auto& entry) {
     if (data_centres.contains(entry.first)) return false;
--- a/Source/gateway/placement_limits.h
+++ b/Source/gateway/placement_limits.h
@@ -32,6 +32,9 @@
 // reads it. Not thread-safe.
 class Evacuations {
  public:
+  // The same time as for endpoints; see EndpointRegistry::kRestoreHold.
+  static constexpr Milliseconds kRestoreHold{30'000};
+
   // A record of the operator's log that begins or ends an evacuation.
   struct Record {
     std::string data_centre;
@@ -59,9 +62,13 @@
   // part of the log.
   std::vector<Change> OnPeerSet(const EvacuatedSet& set, BootTime as_of);
 
-  // The offsets of the log start anew, as after its restoration from a copy.
-  // What is known stays until a page or another gateway says otherwise.
-  void ForgetOffset() { offset_ = 0; }
+  // The store was restored from an older copy, which may lack evacuations that
+  // the operator writes again within seconds. Those that are known stay until
+  // a record ends them, or for kRestoreHold.
+  void OnStoreRestored(BootTime now);
+  // Ends the hold when it is due. Returns the evacuations that end with it.
+  // Call it regularly.
+  std::vector<Change> EndHold(BootTime now);
 
   // Returns the set; empty if none was learned yet.
   std::optional<EvacuatedSet> known() const;
@@ -78,12 +85,15 @@
   const std::map<std::string, BootTime>& since() const { return since_; }
 
  private:
-  std::vector<Change> Replace(const std::set<std::string>& data_centres);
+  // What is held counts as evacuated, too.
+  std::vector<Change> Replace(std::set<std::string> data_centres);
 
   std::map<std::string, BootTime> since_;
   std::uint64_t offset_ = 0;
   bool known_ = false;
-  BootTime complete_as_of_;  // the clock's epoch: never
+  BootTime complete_as_of_;     // the clock's epoch: never
+  std::set<std::string> held_;  // known before a restore, not confirmed since
+  std::optional<BootTime> held_until_;
 };
 
 // Allows no region at all, because no region has an empty name.
--- a/Tests/Gateway/placement_limits_test.cc
+++ b/Tests/Gateway/placement_limits_test.cc
@@ -205,6 +205,45 @@
   }
 }
 
+struct RestoreCase {
+  const char* name;
+  std::vector<Evacuations::Record> records;  // of the restored log
+  bool by_peer;                              // learned from another gateway
+  NameSet evacuated;
+};
+
+std::ostream& operator<<(std::ostream& out, const RestoreCase& c) {
+  return out << c.name;
+}
+
+const RestoreCase kRestores[] = {
+    {"not written again yet", {}, false, {"s1"}},
+    {"not written again yet, by a gateway", {}, true, {"s1"}},
+    {"written again", {{"s1", true, 3}}, false, {"s1"}},
+    {"taken back since", {{"s1", false, 3}}, false, {}},
+    {"another one", {{"n1", true, 3}}, false, {"n1", "s1"}},
+};
+
+// The copy that the store was restored from is older than the evacuation.
+BOOST_DATA_TEST_CASE(an_evacuation_is_not_undone_by_a_restore,
+                     data::make(kRestores), c) {
+  Evacuations evacuations;
+  evacuations.OnPeerSet({{"s1"}, 5}, kBoot);
+  evacuations.OnStoreRestored(kBoot);
+  if (c.by_peer) {
+    evacuations.OnPeerSet({{}, 20}, kBoot);
+  } else {
+    evacuations.OnPage(c.records, 20, true, kBoot);
+  }
+  BOOST_TEST(evacuations.known()->data_centres == c.evacuated,
+             boost::test_tools::per_element());
+  const BootTime end = kBoot + Evacuations::kRestoreHold;
+  BOOST_TEST(evacuations.EndHold(end - Ms(1)).empty());
+  const bool unconfirmed =
+      c.records.empty() || c.records[0].data_centre != "s1";
+  BOOST_TEST(evacuations.EndHold(end).size() == (unconfirmed ? 1U : 0U));
+}
+
 // The empty list allows every region, so it must not stand for none.
 BOOST_AUTO_TEST_CASE(regions_of_two_configurations) {
   BOOST_TEST((CommonRegions({}, {"n"}) == Names{"n"}));
