--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -222,8 +222,7 @@
                  "data_centre=\"" + change.data_centre + "\"",
                  change.begun ? 1 : 0);
   }
-  metrics_.Add("evacuation_changes_total", "",
-               static_cast<double>(changes.size()));
+  metrics_.Add("evacuation_changes_total", "", changes.size());
   forwarder_.SetEvacuated(keys_until);
   ApplyEndpoints();
   return true;
