--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -114,7 +114,10 @@
                       const HttpServer::Respond& respond) {
   if (fault_ == StoreFault::kSilent || silent.contains(name)) return;
   const Topic& topic = topics_[name];
-  if (from < topic.first) {
+  // With eras, an offset that the store does not have may be one of an earlier
+  // era.
+  const bool beyond = era_ > 0 && from > topic.records.size();
+  if (from < topic.first || beyond) {
     return respond(JsonReply({{"first", topic.first}}, 410));
   }
   const std::uint64_t end = topic.records.size();
@@ -138,7 +141,13 @@
 
 void UsersStore::OnRequest(const HttpRequest& request,
                            const std::set<std::string>& silent,
-                           const HttpServer::Respond& respond) {
+                           const HttpServer::Respond& to_caller) {
+  const HttpServer::Respond respond = [this, to_caller](HttpResponse response) {
+    if (era_ > 0) {
+      response.headers.emplace_back("Store-Era", std::to_string(era_));
+    }
+    to_caller(std::move(response));
+  };
   const Target target(request.target);
   const std::string call = target.path.empty() ? "" : target.path[0];
   ++calls_[call];
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -43,6 +43,21 @@
            const std::string& value);
   // Deletes the records of a topic; the newest of each key stay readable.
   void Compact(const std::string& topic);
+  // All responses state this era from now on. 0: none do.
+  void set_era(std::uint64_t era) { era_ = era; }
+  // Keeps a copy of all topics.
+  void TakeCopy() { copy_ = topics_; }
+  // The copy has no records of this topic.
+  void DropFromCopy(const std::string& topic) { copy_.erase(topic); }
+  // Comes back from the copy, in the next era.
+  void RestoreCopy() {
+    topics_ = copy_;
+    ++era_;
+  }
+  // Number of records of the topic.
+  std::size_t size(const std::string& topic) {
+    return topics_[topic].records.size();
+  }
   void set_fault(StoreFault fault) { fault_ = fault; }
   // Reads of these topics get no answer.
   void set_silent_topics(std::set<std::string> topics) {
@@ -78,6 +93,8 @@
   HttpServer server_;
   HttpServer server_for_some_;
   std::map<std::string, Topic> topics_;
+  std::map<std::string, Topic> copy_;
+  std::uint64_t era_ = 0;
   std::map<std::string, std::size_t> calls_;
   std::map<std::string, std::size_t> reads_;
   std::map<std::string, std::size_t> deliveries_;
