--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -130,6 +130,7 @@
   int queued_total = 0;
   double completions_per_second = 0;
   bool ignore_ejections = false;
+  bool ignore_rejections = false;  // all endpoints reject everything
   std::vector<Job> still_waiting;
 };
 
@@ -313,11 +314,14 @@
   Pass pass;
   pass.now = now;
   std::size_t ejected = 0;
+  std::size_t closed = 0;
   for (auto& load : loads_ | std::views::values) {
     pass.completions_per_second += load->completions().PerSecond(now);
     if (load->Ejected(now)) ++ejected;
+    if (load->rejections().Closed(load->in_flight(), now)) ++closed;
   }
   pass.ignore_ejections = !sharded_ && ejected * 2 > loads_.size();
+  pass.ignore_rejections = closed == loads_.size();
   UpdateUrgentMode();
   std::vector<Job> jobs = std::exchange(waiting_, {});
   for (Job& job : jobs) ScheduleJob(job, pass);
@@ -472,8 +476,10 @@
   const EndpointRef& ref = endpoint.info().ref;
   if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
   if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
-  if (endpoint.rejections().Closed(endpoint.in_flight(), pass.now))
+  if (!pass.ignore_rejections &&
+      endpoint.rejections().Closed(endpoint.in_flight(), pass.now)) {
     return false;
+  }
   return pass.ignore_ejections || !endpoint.Ejected(pass.now);
 }
 
--- a/Tests/Gateway/load_estimate_test.cc
+++ b/Tests/Gateway/load_estimate_test.cc
@@ -101,6 +101,31 @@
   BOOST_TEST(!load.rejections().Closed(1, later));
 }
 
+// Guards against a service of few endpoints that serves nothing after each of
+// them rejected a request.
+BOOST_AUTO_TEST_CASE(rejections_of_all_endpoints_close_none) {
+  GatewaySettings settings;
+  settings.data_centre = "a";
+  const EndpointNotices notices(Ms(2'500));
+  Scheduler scheduler(settings, notices, 1);
+  EndpointInfo info;
+  info.ref = {"e", 1};
+  info.slots = 2;
+  info.data_centre = "a";
+  scheduler.SetEndpoints({info}, kStart);
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    Job job;
+    job.id = id;
+    job.kind = "kind";
+    job.arrival = job.not_before = kStart;
+    job.target_latency = Ms(300);
+    job.target = kStart + Ms(300);
+    job.deadline = kStart + Ms(2'000);
+    BOOST_TEST(scheduler.Submit(job, kStart).placements.size() == 1U);
+    scheduler.OnShed(id, info.ref, kIdle, kStart);
+  }
+}
+
 // Guards against work for endpoints that look slow because they ended work
 // while their machines were slow.
 BOOST_AUTO_TEST_CASE(a_slow_moment_does_not_make_an_endpoint_slow) {
