--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -138,6 +138,7 @@
   // By the regions of the job.
   std::map<std::vector<std::string>, bool> ignore_ejections;
   bool may_ignore_ejections = false;
+  bool ignore_rejections = false;  // all endpoints reject everything
   std::vector<Job> still_waiting;
 };
 
@@ -324,10 +325,13 @@
   });
   Pass pass;
   pass.now = now;
+  std::size_t closed = 0;
   for (auto& load : loads_ | std::views::values) {
     pass.completions_per_second += load->completions().PerSecond(now);
+    if (load->rejections().Closed(load->in_flight(), now)) ++closed;
   }
   pass.may_ignore_ejections = !sharded_;
+  pass.ignore_rejections = closed == loads_.size();
   UpdateUrgentMode();
   std::vector<Job> jobs = std::exchange(waiting_, {});
   for (Job& job : jobs) ScheduleJob(job, pass);
@@ -547,7 +551,8 @@
   const EndpointRef& ref = endpoint.info().ref;
   if (notices_.Leaving(ref) || endpoint.Replaced(pass.now)) return false;
   if (notices_.PauseLeft(ref, pass.now) > Milliseconds(0)) return false;
-  if (endpoint.rejections().Closed(endpoint.in_flight(), pass.now)) {
+  if (!pass.ignore_rejections &&
+      endpoint.rejections().Closed(endpoint.in_flight(), pass.now)) {
     return false;
   }
   if (!ColdWait(endpoint, 0, pass.now)) return false;
