Return to preferring an endpoint over five seconds once it is warm

The load estimate did not prevent a rush to an endpoint that turns warm: with 9 gateways and 8 endpoints, 22 requests were there at once, 12 at the busiest other one, because nobody has a report of its load. Now the share of jobs that may prefer it grows from one in N to all over 5 s, where cold endpoints are limited.

--- a/Source/gateway/cold_start.cc
+++ b/Source/gateway/cold_start.cc
@@ -27,6 +27,18 @@
   return std::max(1U, whole / 2);
 }
 
+bool InRampShare(const EndpointId& endpoint, std::uint64_t job,
+                 std::size_t endpoints, SteadyTime::duration warm_for) {
+  const std::chrono::duration<double> passed = warm_for;
+  const std::chrono::duration<double> ramp = kRampTime;
+  const double share =
+      std::pow(static_cast<double>(std::max<std::size_t>(1, endpoints)),
+               std::min(passed / ramp, 1.0) - 1);
+  const auto score =
+      static_cast<double>(RendezvousScore(endpoint, std::to_string(job)));
+  return score <= share * static_cast<double>(~std::uint64_t{0});
+}
+
 void ColdStartGateways::SetList(std::vector<GatewayPlace> gateways,
                                 SteadyTime as_of, SteadyTime now) {
   std::ranges::sort(gateways);
--- a/Source/gateway/cold_start.h
+++ b/Source/gateway/cold_start.h
@@ -81,6 +81,17 @@
   SteadyTime as_of_;         // of the newest one
 };
 
+// Time after the end of a warm-up over which gateways return to preferring the
+// endpoint: without reports of its load, or with early low ones, all of them
+// would take it for the best one.
+inline constexpr Milliseconds kRampTime{5'000};
+
+// Returns whether a job may prefer an endpoint that has been warm for this
+// time, by hashing: one job in `endpoints` at first, all at the end of
+// kRampTime, with a share that grows by the same factor in equal times.
+bool InRampShare(const EndpointId& endpoint, std::uint64_t job,
+                 std::size_t endpoints, SteadyTime::duration warm_for);
+
 // Requests of this gateway to the endpoints of one service, and whether it may
 // send another one to a cold endpoint. Without a limit, nothing is recorded.
 //
--- a/Source/gateway/endpoint_load.cc
+++ b/Source/gateway/endpoint_load.cc
@@ -87,11 +87,15 @@
 }
 
 EndpointLoad::EndpointLoad(EndpointInfo info, SteadyTime now)
-    : info_(std::move(info)), warm_at_(now + info_.warm_up_left) {}
+    : info_(std::move(info)) {
+  if (info_.warm_up_left > Milliseconds(0)) warm_at_ = now + info_.warm_up_left;
+}
 
 void EndpointLoad::Update(const EndpointInfo& info, SteadyTime now) {
   info_ = info;
-  warm_at_ = now + info.warm_up_left;
+  // A warm endpoint keeps the time since when it is.
+  warm_at_ = info.warm_up_left > Milliseconds(0) ? now + info.warm_up_left
+                                                 : std::min(warm_at_, now);
 }
 
 void EndpointLoad::ApplyReport(SteadyTime now, const ReportedLoad& load) {
--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -123,6 +123,8 @@
   // where a probe request would be pointless.
   bool Replaced(SteadyTime now) const { return now < replaced_until_; }
 
+  // When the endpoint became warm, or will; the epoch if it was never cold.
+  SteadyTime warm_at() const { return warm_at_; }
   // Returns true while the endpoint is warming up.
   bool Cold(SteadyTime now) const { return now < warm_at_; }
   Milliseconds WarmUpLeft(SteadyTime now) const {
--- a/Source/gateway/scheduler.cc
+++ b/Source/gateway/scheduler.cc
@@ -28,6 +28,9 @@
 constexpr double kMaxTransferCost = 0.6;
 // Breaks ties between endpoints in favour of the lower latency.
 constexpr double kLatencyCost = 0.05;
+// Cost of an endpoint that has just become warm: others that respond in time
+// are preferred.
+constexpr double kRampCost = 0.3;
 // Endpoints whose loads are pooled: fewer are seen often enough one by one.
 constexpr std::size_t kMinPooledEndpoints = 4;
 // Network round trips, including the caller's side, from the users' data
@@ -460,6 +463,14 @@
                           static_cast<std::size_t>(ahead), now);
 }
 
+bool Scheduler::RampsUp(const Job& job, const EndpointLoad& endpoint,
+                        SteadyTime now) const {
+  const auto passed = now - endpoint.warm_at();
+  return cold_start_.limited() && passed >= Milliseconds(0) &&
+         passed < kRampTime &&
+         !InRampShare(endpoint.info().ref.id, job.id, loads_.size(), passed);
+}
+
 unsigned Scheduler::ColdShare(const EndpointRef& endpoint,
                               SteadyTime now) const {
   const auto found = loads_.find(endpoint);
@@ -613,6 +624,7 @@
           (1 - endpoint.FailureRate() * (job.idempotent ? 1 : 2)) -
       TransferCost(distance, rank, transfer_bytes) -
       kLatencyCost * total_ms / target_ms;
+  if (RampsUp(job, endpoint, pass.now)) candidate.utility -= kRampCost;
   return candidate;
 }
 
--- a/Source/gateway/scheduler.h
+++ b/Source/gateway/scheduler.h
@@ -224,6 +224,10 @@
   // if `ahead` others wait before it; nullopt: it may not be sent there.
   std::optional<Milliseconds> ColdWait(const EndpointLoad& endpoint, int ahead,
                                        SteadyTime now) const;
+  // Returns true if the job prefers others to an endpoint that has just become
+  // warm.
+  bool RampsUp(const Job& job, const EndpointLoad& endpoint,
+               SteadyTime now) const;
   // Rejects a job for which there is no candidate.
   Rejection RejectionWithoutCandidate(const Job& job, const Pass& pass);
   Milliseconds RetryAfter(const Job& job, Milliseconds wait, SteadyTime now);
