Forget a held record that is gone before the hold ends

After a restore, the registry holds back a record of a removed endpoint. Once a later listing lacked it, the end of the hold added the endpoint again. A listing without the record now clears it.

--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -130,6 +130,10 @@
     const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now,
     bool confirmed) {
   loaded_ = true;
+  // An entry that was held back and is gone does not return after the hold.
+  for (auto& [id, held] : held_) {
+    if (!entries.contains(id)) held.listed.reset();
+  }
   std::map<EndpointId, EndpointInfo> counted;
   for (const auto& [id, entry] : entries) {
     if (auto held = Hold(entry)) counted.emplace(id, std::move(*held));
--- a/Tests/Gateway/store_era_test.cc
+++ b/Tests/Gateway/store_era_test.cc
@@ -166,6 +166,22 @@
              c.usable);
 }
 
+// Guards against an endpoint that returns after the hold although its record is
+// gone by then.
+BOOST_AUTO_TEST_CASE(a_record_that_is_gone_does_not_return_after_the_hold) {
+  EndpointRegistry registry;
+  const SteadyTime start{std::chrono::hours(1)};
+  EndpointInfo endpoint;
+  endpoint.ref = {"e1", 1};
+  registry.OnListing({{"e1", endpoint}}, start);
+  registry.OnEntry("e1", std::nullopt, start);
+  registry.OnStoreRestored(start);
+  registry.OnListing({{"e1", endpoint}}, start + Milliseconds(500));
+  registry.OnListing({}, start + Milliseconds(900));
+  registry.ApplyDeferredRemovals(start + std::chrono::seconds(31));
+  BOOST_TEST(registry.endpoints().empty());
+}
+
 // A store with one response for the next call of each kind.
 class ScriptedStore : public CoordinationStore {
  public:
