--- a/Tests/Gateway/lease_random_test.cc
+++ b/Tests/Gateway/lease_random_test.cc
@@ -59,6 +59,7 @@
 struct GuardCase {
   const char* name;
   LeaseKeeper::Guards guards;
+  SimulationOptions options;
 };
 
 std::ostream& operator<<(std::ostream& out, const GuardCase& guard) {
@@ -68,13 +69,21 @@
 const GuardCase kGuards[] = {
     {"no wait for old leases", {.wait_for_old_leases = false}},
     {"append without condition", {.conditional_append = false}},
+    {"no wait for leases of earlier eras",
+     {.wait_for_earlier_eras = false},
+     {.restores = true}},
+    {"calls for tables of earlier eras",
+     {.act_in_current_era_only = false},
+     {.restores = true}},
 };
 
 BOOST_DATA_TEST_CASE(simulation_detects_a_removed_guard, data::make(kGuards),
                      guard) {
   int violations = 0;
   for (std::uint32_t seed = 1; seed <= 200 && violations == 0; ++seed) {
-    if (RunLeaseSimulation(seed, guard.guards).violation) ++violations;
+    if (RunLeaseSimulation(seed, guard.guards, guard.options).violation) {
+      ++violations;
+    }
   }
   BOOST_TEST(violations > 0);
 }
