Report pipelined requests and slow readers in metrics and log lines

Gauges for the pipelined requests and the bytes of responses that are held, a counter of slow readers that were closed, and log lines, at most one kind a second, when the limit of pipelined requests is reached or left and when slow readers were closed.

--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -26,6 +26,8 @@
 constexpr std::size_t kMaxRequestsPerConnection = 16;
 // Each takes some kilobytes: a few megabytes of the smallest gateway's 160.
 constexpr std::size_t kMaxPipelinedRequests = 1'024;
+// Bounds the log lines about callers that read slowly or send many requests.
+constexpr Milliseconds kFrontReportInterval{1'000};
 // Share of the process's memory for bodies of callers' requests.
 constexpr std::size_t kRequestsDivisor = 4;
 // High, because a body may arrive slowly as long as its caller's deadline
@@ -114,6 +116,10 @@
   front_server_->set_fault_handler(
       [this](ResultCode code, const std::string& detail) {
         metrics_.Add("front_faults_total", "", 1);
+        if (code == ResultCode::kUnknownConnectionLost) {
+          metrics_.Add("slow_readers_closed_total", "", 1);
+          ++slow_readers_closed_;
+        }
         LogEvent(EventLevel::kDebug, "front_fault", static_cast<unsigned>(code),
                  {{"detail", detail}});
       });
@@ -198,6 +204,26 @@
   });
 }
 
+void Gateway::Impl::ReportFront(BootTime now) {
+  const std::size_t pipelined = front_server_->pipelined_requests();
+  const std::size_t held = forwarder_.response_memory()->taken();
+  metrics_.Set("requests_pipelined", "", static_cast<double>(pipelined));
+  metrics_.Set("response_bytes_held", "", static_cast<double>(held));
+  if (now < front_reported_ + kFrontReportInterval) return;
+  const bool limited = pipelined >= kMaxPipelinedRequests;
+  if (std::exchange(pipelining_limited_, limited) != limited) {
+    front_reported_ = now;
+    LogInfo("pipelining_limited", {{"limited", limited ? "true" : "false"},
+                                   {"requests", std::to_string(pipelined)}});
+  }
+  if (slow_readers_closed_ > 0) {
+    front_reported_ = now;
+    LogInfo("slow_readers_closed",
+            {{"count", std::to_string(std::exchange(slow_readers_closed_, 0))},
+             {"response_bytes", std::to_string(held)}});
+  }
+}
+
 void Gateway::Impl::Tick() {
   const LoopWatch::Step step(loop_watch_, "tick");
   const BootTime now = BootClock::now();
@@ -215,6 +241,7 @@
   }
   RespondToLongPolls(false);
   ReportStateAge(now);
+  ReportFront(now);
   WatchState(now);
   if (std::exchange(was_ready_, Ready()) != Ready()) {
     LogInfo("readiness", {{"ready", Ready() ? "true" : "false"}});
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -238,6 +238,9 @@
     return routes_ != nullptr && registry_.loaded() && !stopping_;
   }
   void ApplyLimits();
+  // Reports requests that callers sent ahead and responses that they do not
+  // read.
+  void ReportFront(BootTime now);
 
   boost::asio::io_context& loop_;
   GatewaySettings settings_;
@@ -254,6 +257,9 @@
   EndpointRegistry registry_;
   std::map<std::string, AddressHolder> address_holders_;
   std::shared_ptr<const RouteTable> routes_;
+  BootTime front_reported_;
+  bool pipelining_limited_ = false;
+  int slow_readers_closed_ = 0;  // since the last report
   std::map<ServiceId, std::unique_ptr<LeaseKeeper>> keepers_;
   // Used as the leader.
   std::map<ServiceId, EndpointSpeeds> endpoint_speeds_;
