Generate the fields of eras and evacuations from the schema

The schema now declares them (evacuations 18, store_era 19 of PeerStateRecord; era 4 and settled_era 5 of LeaseTableRecord) and the generated code reads and writes them.

--- a/Source/gateway/lease_table.cc
+++ b/Source/gateway/lease_table.cc
@@ -6,15 +6,10 @@
 #include "core/config_rules.h"
 #include "gateway.pb.h"
 #include "gateway/log_position.h"
-#include "gateway/wire_numbers.h"
 
 namespace balsamhall::gateway {
 namespace {
 
-// Fields of LeaseTableRecord.
-constexpr int kEraField = 4;
-constexpr int kSettledEraField = 5;
-
 schema::LeaseHolderRecord ToRecord(const LeaseHolder& holder) {
   schema::LeaseHolderRecord record;
   record.set_endpoint(holder.ref.id);
@@ -104,8 +99,8 @@
   for (const auto& lease : table.ranges) {
     *record.add_ranges() = ToRecord(lease);
   }
-  SetNumber(record, kEraField, EraOf(table.version));
-  SetNumber(record, kSettledEraField, table.settled_era);
+  record.set_era(EraOf(table.version));
+  record.set_settled_era(table.settled_era);
   return record.SerializeAsString();
 }
 
@@ -123,7 +118,7 @@
       });
   if (!complete) return Malformed("range without owner or fence");
   LeaseTable table;
-  table.settled_era = NumberOf(record, kSettledEraField);
+  table.settled_era = record.settled_era();
   table.leader = FromRecord(record.mover());
   std::ranges::transform(record.renewers(), std::back_inserter(table.renewers),
                          [](const auto& entry) { return FromRecord(entry); });
@@ -154,7 +149,7 @@
   if (!record.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
     return Malformed("not a lease table");
   }
-  const std::uint64_t era = NumberOf(record, kEraField);
+  const std::uint64_t era = record.era();
   if (era > EraOf(end)) return Malformed("record of a later era");
   return ParseLeaseTable(bytes, service, LogPosition(era, OffsetOf(end)));
 }
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -1,6 +1,5 @@
 #include "gateway/peer_state.h"
 
-#include <google/protobuf/unknown_field_set.h>
 #include <xxhash.h>
 
 #include <algorithm>
@@ -10,7 +9,6 @@
 #include <ranges>
 
 #include "gateway.pb.h"
-#include "gateway/wire_numbers.h"
 
 namespace balsamhall::gateway {
 namespace {
@@ -22,8 +20,6 @@
 constexpr std::uint64_t kMaxLeasesAgeMs = 86'400'000;
 // Far above what a fleet has; keeps sums away from overflow.
 constexpr unsigned kMaxHops = 1'000;
-// Field of PeerStateRecord.
-constexpr int kStoreEraField = 19;
 
 schema::EndpointRecord ToRecord(const EndpointInfo& endpoint) {
   schema::EndpointRecord record;
@@ -52,50 +48,18 @@
   return endpoint;
 }
 
-// Field numbers of the evacuations; see gateway.proto.
-constexpr int kEvacuationsField = 18;
-constexpr int kEvacuationsOffsetField = 1;
-constexpr int kEvacuatedField = 2;
-
-void AddEvacuations(const EvacuatedSet& evacuations,
-                    schema::PeerStateRecord& record) {
-  google::protobuf::UnknownFieldSet fields;
-  fields.AddVarint(kEvacuationsOffsetField, evacuations.offset);
+schema::EvacuationsRecord ToRecord(const EvacuatedSet& evacuations) {
+  schema::EvacuationsRecord record;
+  record.set_offset(evacuations.offset);
   for (const std::string& name : evacuations.data_centres) {
-    fields.AddLengthDelimited(kEvacuatedField, name);
+    record.add_data_centres(name);
   }
-  fields.SerializeToString(
-      record.GetReflection()->MutableUnknownFields(&record)->AddLengthDelimited(
-          kEvacuationsField));
+  return record;
 }
 
-Result<std::optional<EvacuatedSet>> ReadEvacuations(
-    const schema::PeerStateRecord& record) {
-  using Field = google::protobuf::UnknownField;
-  std::optional<EvacuatedSet> evacuations;
-  const auto& unknown = record.GetReflection()->GetUnknownFields(record);
-  for (int i = 0; i < unknown.field_count(); ++i) {
-    const Field& field = unknown.field(i);
-    if (field.number() != kEvacuationsField) continue;
-    google::protobuf::UnknownFieldSet fields;
-    if (field.type() != Field::TYPE_LENGTH_DELIMITED ||
-        !fields.ParseFromString(field.length_delimited())) {
-      return Error{ResultCode::kPeerFrameMalformed,
-                   "evacuations of a peer state do not decode"};
-    }
-    evacuations.emplace();
-    for (int j = 0; j < fields.field_count(); ++j) {
-      const Field& inner = fields.field(j);
-      if (inner.number() == kEvacuationsOffsetField &&
-          inner.type() == Field::TYPE_VARINT) {
-        evacuations->offset = inner.varint();
-      } else if (inner.number() == kEvacuatedField &&
-                 inner.type() == Field::TYPE_LENGTH_DELIMITED) {
-        evacuations->data_centres.insert(inner.length_delimited());
-      }
-    }
-  }
-  return evacuations;
+EvacuatedSet FromRecord(const schema::EvacuationsRecord& record) {
+  return {{record.data_centres().begin(), record.data_centres().end()},
+          record.offset()};
 }
 
 schema::ProofAgeRecord ToRecord(const ProofAge& age) {
@@ -192,8 +156,10 @@
     published.set_version(table.version);
     published.mutable_table()->ParseFromString(SerializeLeaseTable(table));
   }
-  if (state.evacuations) AddEvacuations(*state.evacuations, record);
-  SetNumber(record, kStoreEraField, state.store_era);
+  if (state.evacuations) {
+    *record.mutable_evacuations() = ToRecord(*state.evacuations);
+  }
+  record.set_store_era(state.store_era);
   record.set_leases_end(state.leases_end);
   record.set_leases_age_ms(
       static_cast<std::uint64_t>(state.leases_age.count()));
@@ -236,10 +202,10 @@
     if (!table) return table.error();
     state.tables.push_back(std::move(table.value()));
   }
-  auto evacuations = ReadEvacuations(record);
-  if (!evacuations) return evacuations.error();
-  state.evacuations = std::move(evacuations.value());
-  state.store_era = NumberOf(record, kStoreEraField);
+  if (record.has_evacuations()) {
+    state.evacuations = FromRecord(record.evacuations());
+  }
+  state.store_era = record.store_era();
   state.leases_end = record.leases_end();
   state.leases_age = Milliseconds(static_cast<std::int64_t>(
       std::min(record.leases_age_ms(), kMaxLeasesAgeMs)));
