Clear the linter's findings on the new parts

Constants of functions get namespace scope, tables name all fields, vectors reserve, and the order of gateways is built with make_tuple. No change of behaviour.

--- a/Source/gateway/cold_start.cc
+++ b/Source/gateway/cold_start.cc
@@ -17,11 +17,12 @@
 // Lists that differ and count at the same time. If a fleet changes more often,
 // this gateway uses no share until the older ones have settled.
 constexpr std::size_t kMaxLists = 32;
+// Far above any bound; keeps conversions within range.
+constexpr double kMaxBound = 1'000'000;
 
 }  // namespace
 
 unsigned ColdStartBudget(double bound) {
-  constexpr double kMaxBound = 1'000'000;
   if (!(bound >= 1)) return 0;
   const auto whole = static_cast<unsigned>(std::min(bound, kMaxBound));
   return std::max(1U, whole / 2);
@@ -68,9 +69,9 @@
   if (list.positions.size() >= kMaxEndpoints) list.positions.clear();
   // Within a data centre as in RendezvousOrder().
   const auto order = [&](const GatewayPlace& gateway) {
-    return std::tuple(gateway.data_centre != data_centre,
-                      ~RendezvousScore(endpoint, gateway.id),
-                      std::string_view(gateway.id));
+    const std::uint64_t score = RendezvousScore(endpoint, gateway.id);
+    return std::make_tuple(gateway.data_centre != data_centre, ~score,
+                           std::string_view(gateway.id));
   };
   const auto self = std::ranges::find(list.gateways, self_, &GatewayPlace::id);
   std::size_t position = list.gateways.size();
--- a/Tests/Gateway/cold_start_test.cc
+++ b/Tests/Gateway/cold_start_test.cc
@@ -140,14 +140,15 @@
   std::unique_ptr<ColdStart> sends;
 };
 
+constexpr Ms kFleetStep{50};
+constexpr int kFleetEndpoints = 6;
+constexpr Ms kFleetLength{150'000};
+
 // Every gateway always has requests for cold endpoints. Gateways read the list
 // of those that have registered every 15 s, so after a start all have different
 // lists. A gateway registers after its first read.
 BOOST_DATA_TEST_CASE(no_state_of_a_fleet_breaks_the_bound, data::make(kFleets),
                      c) {
-  constexpr Ms kStep{50};
-  constexpr int kEndpoints = 6;
-  constexpr Ms kLength{150'000};
   const unsigned budget = ColdStartBudget(kBound);
   std::mt19937 random(7);
   const auto uniform = [&](Ms below) {
@@ -157,7 +158,8 @@
   std::vector<FleetGateway> fleet(static_cast<std::size_t>(c.gateways));
   const auto ids = Gateways(0, c.gateways);
   std::vector<EndpointId> endpoints;
-  for (int e = 0; e < kEndpoints; ++e) {
+  endpoints.reserve(kFleetEndpoints);
+  for (int e = 0; e < kFleetEndpoints; ++e) {
     endpoints.push_back("e-" + std::to_string(e));
   }
   const auto start = [&](std::size_t g, SteadyTime now) {
@@ -175,7 +177,8 @@
   std::size_t most = 0;
   int sent_when_settled = 0;
   std::uint64_t job = 0;
-  for (SteadyTime now = kStart; now < kStart + kLength; now += kStep) {
+  for (SteadyTime now = kStart; now < kStart + kFleetLength;
+       now += kFleetStep) {
     const Ms elapsed = std::chrono::duration_cast<Ms>(now - kStart);
     if (c.restart_every > Ms(0) && elapsed > Ms(60'000) &&
         elapsed.count() % c.restart_every.count() == 0) {
@@ -216,7 +219,7 @@
   }
   BOOST_TEST(most <= static_cast<std::size_t>(kBound));
   // Well above what the service states, unless gateways are missing.
-  const double per_second = sent_when_settled / 20.0 / kEndpoints;
+  const double per_second = sent_when_settled / 20.0 / kFleetEndpoints;
   BOOST_TEST_MESSAGE(c.name << ": most in a second " << most << ", settled "
                             << per_second << " a second");
   BOOST_TEST(per_second >= (c.cut_off > 0 ? 2.5 : 4.2));
@@ -367,17 +370,19 @@
   std::size_t most_at_others = 0;  // at once, then
 };
 
+constexpr int kTrafficEndpoints = 8;
+constexpr unsigned kTrafficSlots = 6;
+constexpr Ms kTrafficService{410};
+constexpr Ms kTrafficStep{4};
+
 // One of 8 endpoints is cold, or all. While it is, it sheds a tenth of its
 // requests, which are repeated.
 TrafficResult RunTraffic(const TrafficCase& c, unsigned seed) {
-  constexpr int kEndpoints = 8;
-  constexpr unsigned kSlots = 6;
-  constexpr Ms kService{410};
-  constexpr Ms kStep{4};
   const EndpointNotices notices{Ms(2'500)};
   std::deque<GatewaySettings> settings;
   std::vector<EndpointInfo> endpoints;
-  for (int e = 0; e < (c.sharded ? 1 : kEndpoints); ++e) {
+  endpoints.reserve(kTrafficEndpoints);
+  for (int e = 0; e < (c.sharded ? 1 : kTrafficEndpoints); ++e) {
     endpoints.push_back(
         Endpoint("e" + std::to_string(e),
                  e == 0 || c.warm_after > Ms(14'000) ? c.warm_after : Ms(0)));
@@ -418,9 +423,10 @@
       const auto e = std::stoul(placement.endpoint.ref.id.substr(1));
       const bool cold = e == 0 && now < kStart + c.warm_after;
       // Work takes longer on a full endpoint, as if it waited for a slot.
-      const auto queued = running[e].size() / kSlots;
+      const auto queued = running[e].size() / kTrafficSlots;
       const bool shed = cold && random() % 10 == 0;
-      const Ms work = shed ? Ms(2) : kService * static_cast<int>(1 + queued);
+      const Ms work =
+          shed ? Ms(2) : kTrafficService * static_cast<int>(1 + queued);
       running[e].push_back({g, jobs[placement.job], now,
                             now + (cold && !shed ? work * 2 : work)});
       if (e == 0) arrivals.push_back(now);
@@ -431,12 +437,12 @@
       }
     }
   };
-  const double rate = c.per_second * (c.sharded ? 1 : kEndpoints);
+  const double rate = c.per_second * (c.sharded ? 1 : kTrafficEndpoints);
   std::poisson_distribution<int> requests(rate * 0.004);
   // Beyond the end of the ramp, or 14 s of the warm-up.
   const auto end =
       kStart + std::min(c.warm_after + kRampTime + Ms(4'000), Ms(14'000));
-  for (; now < end; now += kStep) {
+  for (; now < end; now += kTrafficStep) {
     for (const auto& lease : lists) lease->SetList(ids, now, now);
     for (int n = requests(random); n > 0; --n) {
       const std::size_t g = random() % schedulers.size();
@@ -454,9 +460,9 @@
         }
         running[e].erase(running[e].begin() + static_cast<std::ptrdiff_t>(i));
         const auto count = static_cast<unsigned>(running[e].size());
-        const ReportedLoad load{std::min(count, kSlots),
-                                count - std::min(count, kSlots),
-                                kSlots,
+        const ReportedLoad load{std::min(count, kTrafficSlots),
+                                count - std::min(count, kTrafficSlots),
+                                kTrafficSlots,
                                 {}};
         Scheduler& scheduler = *schedulers[done.gateway];
         const EndpointRef& ref = endpoints[e].ref;
@@ -547,6 +553,7 @@
   load.Add(keys, now);
   const auto sums = load.PrefixSums(now);
   std::vector<EligibleEndpoint> endpoints;
+  endpoints.reserve(4);
   for (int i = 0; i < 4; ++i) {
     endpoints.push_back({Holder(i), 6, c.cold.contains(i)});
   }
--- a/Tests/Gateway/lease_random_test.cc
+++ b/Tests/Gateway/lease_random_test.cc
@@ -59,7 +59,7 @@
 struct GuardCase {
   const char* name;
   LeaseKeeper::Guards guards;
-  SimulationOptions options;
+  SimulationOptions options = {};
 };
 
 std::ostream& operator<<(std::ostream& out, const GuardCase& guard) {
--- a/Tests/Gateway/store_era_test.cc
+++ b/Tests/Gateway/store_era_test.cc
@@ -101,7 +101,12 @@
   LeaseTable table;
   table.version = version;
   table.leader = {"g1", 1, "127.0.0.1:1", "a"};
-  table.ranges = {{{0, 65'535}, {{"e1", 1}, "127.0.0.1:2"}, version, true}};
+  table.ranges = {{{0, 65'535},
+                   {{"e1", 1}, "127.0.0.1:2"},
+                   version,
+                   true,
+                   {},
+                   Milliseconds(0)}};
   return table;
 }
 
