--- a/Source/gateway/cold_start.cc
+++ b/Source/gateway/cold_start.cc
@@ -68,10 +68,11 @@
   }
   if (list.positions.size() >= kMaxEndpoints) list.positions.clear();
   // Within a data centre as in RendezvousOrder().
-  const auto order = [&](const GatewayPlace& gateway) {
+  using Order = std::tuple<bool, std::uint64_t, std::string_view>;
+  const auto order = [&](const GatewayPlace& gateway) -> Order {
+    const bool elsewhere = gateway.data_centre != data_centre;
     const std::uint64_t score = RendezvousScore(endpoint, gateway.id);
-    return std::make_tuple(gateway.data_centre != data_centre, ~score,
-                           std::string_view(gateway.id));
+    return {elsewhere, ~score, gateway.id};
   };
   const auto self = std::ranges::find(list.gateways, self_, &GatewayPlace::id);
   std::size_t position = list.gateways.size();
