--- a/Source/gateway/endpoint_load.h
+++ b/Source/gateway/endpoint_load.h
@@ -20,7 +20,7 @@
   unsigned slots = 0;
   // Duration of work on the endpoint's machine at this moment, in percent of
   // the usual duration. It changes several times a second.
-  std::optional<unsigned> duration_percent;
+  std::optional<unsigned> duration_percent = {};
 };
 
 inline bool HasFreeSlot(const ReportedLoad& load) {
--- a/Source/gateway/fleet_view.h
+++ b/Source/gateway/fleet_view.h
@@ -58,7 +58,7 @@
   // Requests per second that a cold endpoint tolerates; 0: not limited.
   double warm_up_per_second = 0;
   // Why no request can be sent to the endpoints; empty if requests can be sent.
-  std::string unusable;
+  std::string unusable = {};
 
   bool operator==(const ServiceSpec&) const = default;
 };
@@ -81,9 +81,9 @@
   unsigned max_attempts = 1;
   std::vector<WeightedService> services;
   // Regions whose endpoints may get the requests; empty: all regions.
-  std::vector<std::string> allowed_regions;
+  std::vector<std::string> allowed_regions = {};
   // Why the requests cannot be served safely; empty if they can be.
-  std::string unusable;
+  std::string unusable = {};
 
   bool operator==(const Route&) const = default;
 };
