--- a/Tests/UsersFaults/store_restore_test.cc
+++ b/Tests/UsersFaults/store_restore_test.cc
@@ -1,6 +1,11 @@
 // End-to-end tests of a store that comes back from an older copy of itself.
+#include <algorithm>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <ostream>
 #include <string>
+#include <vector>
 
 #include "UsersPlatform/gateway_fixture.h"
 
@@ -82,5 +87,73 @@
   BOOST_TEST(RunUntil([this] { return KeyedWorks(); }, kLeaseBound));
 }
 
+struct JoinResponse {
+  const char* era;  // empty: the store states none
+  int generation;
+};
+
+struct GenerationCase {
+  const char* name;
+  std::vector<JoinResponse> responses;  // to the first joins
+  bool reads_new_era;                   // a read shows era 2 after them
+  int expected;                         // generation of the next join
+};
+
+std::ostream& operator<<(std::ostream& out, const GenerationCase& c) {
+  return out << c.name;
+}
+
+const GenerationCase kGenerations[] = {
+    {"no eras", {{"", 5}, {"", 6}}, false, 6},
+    {"one era", {{"1", 5}, {"1", 6}}, false, 6},
+    {"a restored store", {{"1", 9}, {"2", 3}}, false, 3},
+    {"a late response of the earlier era", {{"2", 3}, {"1", 9}}, false, 3},
+    {"a read shows the restore first", {{"1", 9}}, true, 0},
+};
+
+// Guards against a join that names a generation of an earlier era: the store
+// takes a later generation than its own for the member's consent to give up
+// the partition that makes it the leader.
+BOOST_DATA_TEST_CASE(a_generation_of_an_earlier_era_is_not_sent,
+                     boost::unit_test::data::make(kGenerations), c) {
+  boost::asio::io_context loop{1};
+  std::vector<int> sent;
+  const auto headers = [](const std::string& era) {
+    return era.empty() ? HttpHeaders{} : HttpHeaders{{"Store-Era", era}};
+  };
+  HttpServer server(
+      loop, HttpServerOptions{},
+      [&](const HttpRequest& request, const HttpServer::Respond& respond) {
+        if (request.target != "/log-join") {
+          return respond({200, headers("2"), std::string(16, '\0')});
+        }
+        sent.push_back(json::parse(request.body)["generation"].get<int>());
+        const auto& response =
+            c.responses[std::min(sent.size(), c.responses.size()) - 1];
+        respond(
+            {200, headers(response.era),
+             json{{"generation", response.generation}, {"parts", json::array()}}
+                 .dump()});
+      });
+  const auto port = server.Listen("127.0.0.1:0").value();
+  StoreClient client(loop, "127.0.0.1:" + std::to_string(port),
+                     Milliseconds(1'000));
+  const auto join = [&] {
+    return Await<gateway::ElectionResult>(loop, [&](auto done) {
+      client.JoinLeaderElection("g", Milliseconds(1'000), done);
+    });
+  };
+  for (std::size_t i = 0; i < c.responses.size(); ++i) {
+    BOOST_REQUIRE(join().reached);
+  }
+  if (c.reads_new_era) {
+    Await<gateway::ReadResult>(loop, [&](auto done) {
+      client.ReadFrom(gateway::Log::kLeases, 0, Milliseconds(0), done);
+    });
+  }
+  join();
+  BOOST_TEST(sent.back() == c.expected);
+}
+
 }  // namespace
 }  // namespace balsamhall::platform
