--- a/review/6/run.py
+++ b/review/6/run.py
@@ -7,8 +7,8 @@
 again, which lists the endpoint as ready.
 """
 import asyncio
-import json
 import os
+import shutil
 import sys
 import tempfile
 
@@ -129,6 +129,7 @@
     finally:
         for gateway in gateways:
             await gateway.stop()
+        shutil.rmtree(directory, ignore_errors=True)
 
 
 if __name__ == "__main__":
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -4,6 +4,7 @@
 """
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import random
@@ -445,6 +446,14 @@
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 
 
+LIBC = ctypes.CDLL(None)
+PR_SET_PDEATHSIG = 1
+
+
+def end_with_parent():
+    LIBC.prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Gateway:
     """A process of balsamhall-gateway, started as in deploy/system.toml."""
 
@@ -461,6 +470,7 @@
         with open(self.log, "a") as log:
             self.process = await asyncio.create_subprocess_exec(
                 os.path.abspath(BINARY), cwd=ROOT, stdout=log, stderr=asyncio.subprocess.STDOUT,
+                preexec_fn=end_with_parent,
                 env={"BALSAMHALL_CONFIG": self.path, "PATH": os.environ.get("PATH", "")})
 
     async def follows(self, name):
