--- a/review/6/run.py
+++ b/review/6/run.py
@@ -47,7 +47,7 @@
         store.put("keyed.servers", name, endpoint.entry())
         return endpoint
 
-    for name in ("i-old1", "i-old2"):
+    for name in ("i-old1", "i-old2", "i-old3", "i-old4"):
         await add(name)
     for name in ("i-key1", "i-key2"):
         await add(name, "lookup")
@@ -86,7 +86,7 @@
                 if (now() - start) % WAVE < WAVE_LENGTH:
                     number += 1
                     tasks.append(asyncio.ensure_future(one(number)))
-                await asyncio.sleep(0.012)
+                await asyncio.sleep(0.007)
             await asyncio.gather(*tasks)
 
         flow = asyncio.ensure_future(traffic())
