Do not take a part of an unframed answer for the whole after a reset

Cause: the system reports a reset once, to the operation that comes first. If that is the write of the request, the read sees an end of the stream like that of an orderly close, and HttpClient took the answer for whole. It noted the failed write only to decide whether the connection could be used again.

Change: an answer without a length is whole only if the connection has failed in neither direction. If the request is still being written when the answer ends, the client waits for the result of the write, for 250 ms at most. An endpoint that closes its side in order and reads on, or keeps its other side open, is believed as before.

--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -37,6 +37,11 @@
 // A connection is not reused within this time before the server closes it.
 constexpr Milliseconds kKeepAliveMargin{1000};
 
+// An answer without a length that ends while the request is being written waits
+// this long for the fate of the write: bytes that arrive at a closed connection
+// are answered by a reset, within a round trip.
+constexpr Milliseconds kWriteResultTimeout{250};
+
 constexpr const char* kNoMemory = "no memory left for the answer";
 
 constexpr std::string_view kTimeoutParameter = "timeout=";
@@ -254,6 +259,8 @@
   // Reads the message behind one that does not end the exchange.
   void ReadNext();
   void OnRead(error_code error);
+  // The whole answer has been read.
+  void OnWholeAnswer();
   // Ends the exchange later, because another connection is being read now.
   void OnGivenUp();
   void FinishTooLarge(const std::string& detail) {
@@ -289,6 +296,8 @@
   bool replaceable_ = false;
   bool written_ = false;
   bool write_failed_ = false;
+  // An answer without a length has ended, and the write has not.
+  bool awaits_write_ = false;
   bool skipped_answer_ = false;
   unsigned messages_read_over_ = 0;
   bool reset_ = false;
@@ -303,6 +312,7 @@
   done_ = std::move(done);
   written_ = false;
   write_failed_ = false;
+  awaits_write_ = false;
   skipped_answer_ = false;
   messages_read_over_ = 0;
   bytes_at_timeout_ = 0;
@@ -319,6 +329,7 @@
 
 void HttpClient::Impl::Connection::OnTimeout() {
   if (stage_ == Stage::kDone) return;
+  if (awaits_write_) return OnWholeAnswer();
   // The timer of the connect stage may have expired just before the switch to
   // the exchange's later deadline.
   if (stage_ != Stage::kConnecting && Clock::now() < deadline_) return;
@@ -406,6 +417,7 @@
   if (stage_ == Stage::kReading) {
     written_ = !error;
     write_failed_ = static_cast<bool>(error);
+    if (awaits_write_) OnWholeAnswer();
     return;
   }
   if (stage_ != Stage::kWriting) return;
@@ -474,11 +486,27 @@
     return FinishFailed(closed ? HttpFailure::kClosed : HttpFailure::kBadAnswer,
                         "read: " + error.message());
   }
+  const bool write_pending = !written_ && !write_failed_;
+  if (write_pending && parser_->need_eof() &&
+      client_->options_.accept_unframed) {
+    awaits_write_ = true;
+    return SetTimer(std::min(deadline_, Clock::now() + kWriteResultTimeout));
+  }
+  OnWholeAnswer();
+}
+
+void HttpClient::Impl::Connection::OnWholeAnswer() {
   const bool unframed = parser_->need_eof();
   if (unframed && !client_->options_.accept_unframed) {
     // An answer that ends with the connection may have been cut off.
     return FinishFailed(HttpFailure::kBadAnswer, "answer without a length");
   }
+  // A reset is reported once: if the write learns of it, the read ends like
+  // that of a connection that the server has closed in order.
+  if (unframed && write_failed_) {
+    return FinishFailed(HttpFailure::kBadAnswer,
+                        "connection failed during an answer without a length");
+  }
   auto& message = parser_->get();
   const unsigned status = message.result_int();
   if (status < kFirstFinalStatus) {
--- a/Source/net/http_client.h
+++ b/Source/net/http_client.h
@@ -38,7 +38,8 @@
   std::function<NamedRequest(const HttpRequest&, const HttpResponse&)>
       named_request;
   // An answer without a length ends with its connection; taken as whole only
-  // if the server closed the connection in order.
+  // if the server closed the connection in order and the write of the request
+  // has not failed.
   bool accept_unframed = false;
   // An answer whose body still arrives at the time-out is read on, as long as
   // bytes arrive within each interval of this length, up to
