Do not pass on endpoints whose removal is deferred

Cause: a gateway that comes back from a cut takes the missing endpoints for lapsed and keeps them for 2.2 s, as after an outage of the store. Its list had them, and gateways that follow it took the list for what the store shows.

Change: a list has what the store shows, and each gateway defers removals by itself. It does so after failed calls to the store, or if the store has shown the log to nobody that it has heard from for 3 s, which a gateway in touch is never without. A gateway says with its list whether it defers removals; one that does not proves that the store was not away. An endpoint that became known after the store's return has not lapsed before it. The log lines on endpoints name their source.

--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -35,9 +35,14 @@
   return holders;
 }
 
-bool EndpointRegistry::DefersRemovals(SteadyTime now) const {
-  return store_lost_ ||
-         (store_regained_at_ && now < *store_regained_at_ + kRemovalGrace);
+std::optional<SteadyTime> EndpointRegistry::RemovalDue(SteadyTime added,
+                                                       SteadyTime now) const {
+  if (!InGrace(now)) return std::nullopt;
+  if (store_lost_) return SteadyTime::max();
+  // An endpoint that became known after the store's return has not lapsed
+  // before it.
+  if (added > *store_regained_at_) return std::nullopt;
+  return *store_regained_at_ + kRemovalGrace;
 }
 
 std::optional<EndpointRegistry::Change> EndpointRegistry::OnEntry(
@@ -94,12 +99,15 @@
 
 std::optional<EndpointRegistry::Change> EndpointRegistry::Apply(
     const EndpointId& id, std::optional<EndpointInfo> entry, SteadyTime now) {
-  if (!entry) return Remove(id, now, false);
+  if (!entry) return Remove(id, now);
   deferred_.erase(id);
   const bool turned_cold = RecordWarmUp(*entry, now);
   removed_.erase(id);
   const auto [position, added] = endpoints_.try_emplace(id, *entry);
-  if (added) return Change{Change::Kind::kAdded, *entry};
+  if (added) {
+    added_.insert_or_assign(id, now);
+    return Change{Change::Kind::kAdded, *entry};
+  }
   const EndpointInfo before = std::exchange(position->second, *entry);
   if (!SameExceptDrain(before, *entry)) {
     return Change{Change::Kind::kChanged, *entry};
@@ -139,27 +147,38 @@
 }
 
 std::optional<EndpointRegistry::Change> EndpointRegistry::Remove(
-    const EndpointId& id, SteadyTime now, bool confirmed) {
+    const EndpointId& id, SteadyTime now) {
   const auto found = endpoints_.find(id);
   if (found == endpoints_.end()) return std::nullopt;
+  const auto due_at = RemovalDue(added_.at(id), now);
   // A draining endpoint is not expected to return.
-  if (!confirmed && DefersRemovals(now) && !found->second.draining) {
-    const auto due_at =
-        store_lost_ ? SteadyTime::max() : *store_regained_at_ + kRemovalGrace;
-    if (!deferred_.emplace(id, due_at).second) return std::nullopt;
-    return Change{Change::Kind::kRemovalDeferred, found->second};
-  }
-  Change change{Change::Kind::kRemoved, found->second};
-  removed_.insert_or_assign(id, Removed{found->second.ref.incarnation, now});
-  endpoints_.erase(found);
-  warm_ups_.erase(id);
-  deferred_.erase(id);
+  if (!due_at || found->second.draining) return RemoveNow(found, now);
+  if (!deferred_.emplace(id, *due_at).second) return std::nullopt;
+  return Change{Change::Kind::kRemovalDeferred, found->second};
+}
+
+EndpointRegistry::Change EndpointRegistry::RemoveNow(
+    std::map<EndpointId, EndpointInfo>::iterator position, SteadyTime now) {
+  Change change{Change::Kind::kRemoved, std::move(position->second)};
+  const EndpointRef& ref = change.endpoint.ref;
+  endpoints_.erase(position);
+  removed_.insert_or_assign(ref.id, Removed{ref.incarnation, now});
+  added_.erase(ref.id);
+  warm_ups_.erase(ref.id);
+  deferred_.erase(ref.id);
   return change;
 }
 
+std::map<EndpointId, EndpointInfo> EndpointRegistry::Listed() const {
+  std::map<EndpointId, EndpointInfo> listed = endpoints_;
+  std::erase_if(listed, [this](const auto& entry) {
+    return deferred_.contains(entry.first);
+  });
+  return listed;
+}
+
 std::vector<EndpointRegistry::Change> EndpointRegistry::OnListing(
-    const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now,
-    bool confirmed) {
+    const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now) {
   loaded_ = true;
   // An entry that was held back and is gone does not return after the hold.
   for (auto& [id, held] : held_) {
@@ -178,7 +197,7 @@
   const auto add = [&](std::optional<Change> change) {
     if (change) changes.push_back(std::move(*change));
   };
-  for (const auto& id : missing) add(Remove(id, now, confirmed));
+  for (const auto& id : missing) add(Remove(id, now));
   for (const auto& [id, entry] : counted) add(Apply(id, entry, now));
   return changes;
 }
@@ -192,6 +211,23 @@
   for (auto& due : deferred_ | std::views::values) due = now + kRemovalGrace;
 }
 
+void EndpointRegistry::OnLogShown(std::optional<Milliseconds> gap, ShownBy by,
+                                  SteadyTime now) {
+  if (by == ShownBy::kGateway) {
+    store_lost_ = false;
+    store_regained_at_.reset();
+    for (auto& due : deferred_ | std::views::values) due = std::min(due, now);
+  } else if (!gap || *gap > kMaxGap) {
+    OnStoreLost();
+    OnStoreRegained(now);
+  }
+}
+
+bool EndpointRegistry::InGrace(SteadyTime now) const {
+  return store_lost_ ||
+         (store_regained_at_ && now < *store_regained_at_ + kRemovalGrace);
+}
+
 std::vector<EndpointRegistry::Change> EndpointRegistry::ApplyDeferredRemovals(
     SteadyTime now) {
   std::vector<EndpointId> due;
@@ -199,10 +235,9 @@
     if (due_at <= now) due.push_back(id);
   }
   std::vector<Change> changes;
+  changes.reserve(due.size());
   for (const auto& id : due) {
-    deferred_.erase(id);
-    auto change = Remove(id, now, true);
-    if (change) changes.push_back(std::move(*change));
+    changes.push_back(RemoveNow(endpoints_.find(id), now));
   }
   EndHold(now, changes);
   std::erase_if(removed_, [&](const auto& entry) {
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -26,10 +26,11 @@
     const std::map<EndpointId, EndpointInfo>& endpoints,
     const std::map<ServiceId, ServiceSpec>& services);
 
-// While the store is unreachable, entries lapse although their endpoints are
-// alive. Such a removal is deferred: it takes effect only if the entry is still
-// missing some time after the store is reachable again. Any other removal, and
-// a drain, takes effect at once.
+// While the store is away, entries lapse although their endpoints are alive.
+// Such a removal is deferred: it takes effect only if the entry is still
+// missing some time after the store is back. Any other removal, and a drain,
+// takes effect at once. A gateway that was cut off from the store by itself
+// learns from the others that the store was not away.
 //
 // Times are of any monotonic clock, the same in all calls. Not thread-safe.
 class EndpointRegistry {
@@ -39,6 +40,10 @@
   static constexpr Milliseconds kRestoreHold{30'000};
   // A copy from which the store is restored is only some seconds old.
   static constexpr Milliseconds kMaxCopyAge{60'000};
+  // The log is shown to a gateway in touch at least every 2.3 s
+  // (docs/platform.md, "How long a gateway may lack a change"). After a longer
+  // gap, the store may have been away for the 2.6 s in which entries lapse.
+  static constexpr Milliseconds kMaxGap{3'000};
 
   struct Change {
     enum class Kind {
@@ -60,16 +65,26 @@
                                 SteadyTime now);
 
   // Applies a complete listing: entries that are missing from it are removed.
-  // confirmed: the listing comes from a gateway that reaches the store and has
-  // already waited for lapsed entries, so no removal is deferred.
   std::vector<Change> OnListing(
-      const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now,
-      bool confirmed = false);
+      const std::map<EndpointId, EndpointInfo>& entries, SteadyTime now);
 
-  // Defers removals from now on.
+  // This gateway's calls to the store fail: defers removals from now on.
   void OnStoreLost();
-  // Starts the grace period after which deferred removals are due.
+  // This gateway's calls to the store succeed again: starts the grace period
+  // after which deferred removals are due.
   void OnStoreRegained(SteadyTime now);
+  // Who has shown this gateway the end of the log, last shown by the store.
+  enum class ShownBy {
+    kStore,
+    kGateway,         // one that knows that the store was not away
+    kGatewayInGrace,  // one whose own grace period has not ended
+  };
+  // gap: time between this proof and the one before; nullopt for the first one.
+  // Call it before the change that comes with the proof is applied. A gap above
+  // kMaxGap starts the grace period, unless another gateway has had none.
+  void OnLogShown(std::optional<Milliseconds> gap, ShownBy by, SteadyTime now);
+  // Returns whether entries that are missing now may still return.
+  bool InGrace(SteadyTime now) const;
 
   // The store was restored from an older copy. For kRestoreHold, records that a
   // listing shows do not undo a drain or a removal that was known before; an
@@ -85,6 +100,12 @@
   const std::map<EndpointId, EndpointInfo>& endpoints() const {
     return endpoints_;
   }
+  // Returns the endpoints whose removal is not deferred. Only these are passed
+  // on: another gateway may know that the store was not away, and that the
+  // others have left.
+  std::map<EndpointId, EndpointInfo> Listed() const;
+  // Returns whether a removal is deferred.
+  bool DefersAny() const { return !deferred_.empty(); }
   // Returns the remaining warm-up time of an endpoint: what its newest entry
   // stated, less the time since that entry was first seen. 0 if it is warm or
   // not registered.
@@ -113,11 +134,15 @@
   // Returns the entry as it counts while the hold of a restore lasts.
   std::optional<EndpointInfo> Hold(const EndpointInfo& entry);
   void EndHold(SteadyTime now, std::vector<Change>& changes);
-  bool DefersRemovals(SteadyTime now) const;
-  std::optional<Change> Remove(const EndpointId& id, SteadyTime now,
-                               bool confirmed);
+  // Returns when the removal of an endpoint that was added then is due, or
+  // nullopt if it takes effect at once.
+  std::optional<SteadyTime> RemovalDue(SteadyTime added, SteadyTime now) const;
+  std::optional<Change> Remove(const EndpointId& id, SteadyTime now);
+  Change RemoveNow(std::map<EndpointId, EndpointInfo>::iterator position,
+                   SteadyTime now);
 
   std::map<EndpointId, EndpointInfo> endpoints_;
+  std::map<EndpointId, SteadyTime> added_;  // when each became known
   std::map<EndpointId, WarmUp> warm_ups_;
   std::map<EndpointId, SteadyTime> deferred_;  // due times of removals
   // Incarnations removed lately, which an older copy of the store may still
--- a/Source/gateway/gateway.cc
+++ b/Source/gateway/gateway.cc
@@ -229,7 +229,8 @@
   const LoopWatch::Step step(loop_watch_, "tick");
   const BootTime now = BootClock::now();
   OnRegistryChanges(
-      registry_.ApplyDeferredRemovals(std::chrono::steady_clock::now()));
+      registry_.ApplyDeferredRemovals(std::chrono::steady_clock::now()),
+      "grace");
   ApplyEvacuations(evacuations_.EndHold(now), "restore");
   for (auto& [service, keeper] : keepers_) {
     if (!IsShardedByKey(service)) continue;
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -153,10 +153,15 @@
   // served.
   void ReportUnusableEntries();
   void OnRegistryPage(const LogPage& page);
+  // The store has shown the end of the registry's log as of the proof. Call it
+  // before the proof is kept.
+  void OnRegistryShown(const LogProof& proof, EndpointRegistry::ShownBy by);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
   void OnEntryRejected(const EndpointId& id, const Error& error);
-  void OnRegistryChanges(std::vector<EndpointRegistry::Change> changes);
+  // source: for the log.
+  void OnRegistryChanges(std::vector<EndpointRegistry::Change> changes,
+                         const char* source);
   void UpdateWarmUp(EndpointInfo& endpoint, SteadyTime now) const;
   void OnLeasesPage(const LogPage& page, BootTime as_of);
   // sent: when the read of the page was sent.
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -99,17 +99,23 @@
   if (ApplyPeerConfig(state, config)) {
     proofs_.Extend(Log::kOperatorConfig, config);
   }
-  proofs_.Extend(Log::kEndpointRegistry,
-                 ProofFrom(state.registry_age.value_or(ProofAge{}), sent, now));
-  if (state.endpoints && state.registry_offset >= registry_offset_) {
-    registry_offset_ = state.registry_offset;
-    OnRegistryChanges(registry_.OnListing(
-        *state.endpoints, std::chrono::steady_clock::now(), true));
-  }
+  const LogProof registry =
+      ProofFrom(state.registry_age.value_or(ProofAge{}), sent, now);
+  using ShownBy = EndpointRegistry::ShownBy;
+  OnRegistryShown(registry, state.removals_deferred ? ShownBy::kGatewayInGrace
+                                                    : ShownBy::kGateway);
+  proofs_.Extend(Log::kEndpointRegistry, registry);
   // Positions of an era that the gateway does not claim to know are malformed.
   const auto of_known_era = [this](std::uint64_t position) {
     return store_.era() == 0 || EraOf(position) <= store_.era();
   };
+  if (state.endpoints && state.registry_offset >= registry_offset_ &&
+      of_known_era(state.registry_offset)) {
+    registry_offset_ = state.registry_offset;
+    OnRegistryChanges(
+        registry_.OnListing(*state.endpoints, std::chrono::steady_clock::now()),
+        "peer");
+  }
   for (LeaseTable& table : state.tables) {
     if (of_known_era(table.version)) AdoptTable(std::move(table), "peer");
   }
@@ -168,13 +174,17 @@
 std::uint64_t Gateway::Impl::CurrentEndpointsDigest() const {
   const auto now = std::chrono::steady_clock::now();
   std::set<EndpointId> cold;
-  for (const auto& [id, endpoint] : registry_.endpoints()) {
+  std::map<EndpointId, EndpointInfo> listed;
+  if (registry_.DefersAny()) listed = registry_.Listed();
+  const auto& endpoints =
+      registry_.DefersAny() ? listed : registry_.endpoints();
+  for (const auto& [id, endpoint] : endpoints) {
     if (forwarder_.LimitsColdEndpoints(endpoint.service) &&
         registry_.WarmUpLeft(id, now) > Milliseconds(0)) {
       cold.insert(id);
     }
   }
-  return EndpointsDigest(registry_.endpoints(), cold);
+  return EndpointsDigest(endpoints, cold);
 }
 
 PeerStateRequest Gateway::Impl::MakePeerStateQuery(bool long_poll) const {
@@ -328,7 +338,7 @@
   reader_.clear();
   without_reader_since_.reset();
   config_follower_->Resume(ConfigReadOffset());
-  // A list of another gateway may have endpoints whose removal was deferred.
+  // A gateway of an earlier version lists endpoints whose removal is deferred.
   if (registry_read_) {
     registry_follower_->Resume(registry_offset_);
   } else {
@@ -401,12 +411,13 @@
     state.evacuations = evacuations_.known();
   }
   state.registry_offset = registry_offset_;
+  state.removals_deferred = registry_.InGrace(std::chrono::steady_clock::now());
   // The digest does not show that an endpoint has turned cold once more.
   const bool turned_cold = last_turned_cold_ != BootTime{} &&
                            poll.arrived < last_turned_cold_ + kColdNoticeTime;
   if (state.store_reachable &&
       (turned_cold || CurrentEndpointsDigest() != query.endpoints_digest)) {
-    state.endpoints = registry_.endpoints();
+    state.endpoints = registry_.Listed();
     for (EndpointInfo& endpoint : *state.endpoints | std::views::values) {
       UpdateWarmUp(endpoint, std::chrono::steady_clock::now());
     }
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -67,6 +67,10 @@
             const LogPage& page, const StoreFollower::PageTimes& times) {
           log_failures_[log] = 0;
           OnStoreResult(true, "", times.sent);
+          if (log == Log::kEndpointRegistry) {
+            OnRegistryShown({times.as_of, 0},
+                            EndpointRegistry::ShownBy::kStore);
+          }
           // The answers that the handler gives to other gateways have both.
           if (page.next >= page.log_end) proofs_.Extend(log, {times.as_of, 0});
           handler(page, times);
@@ -378,6 +382,17 @@
   return std::nullopt;
 }
 
+void Gateway::Impl::OnRegistryShown(const LogProof& proof,
+                                    EndpointRegistry::ShownBy by) {
+  const BootTime before = proofs_.Of(Log::kEndpointRegistry).as_of;
+  // An older proof says nothing about the time since this one.
+  if (proof.as_of <= before) return;
+  const auto gap =
+      std::chrono::duration_cast<Milliseconds>(proof.as_of - before);
+  registry_.OnLogShown(before == BootTime{} ? std::nullopt : std::optional(gap),
+                       by, std::chrono::steady_clock::now());
+}
+
 void Gateway::Impl::OnRegistryPage(const LogPage& page) {
   const LoopWatch::Step step(loop_watch_, "registry");
   const auto now = std::chrono::steady_clock::now();
@@ -404,11 +419,11 @@
   }
   registry_read_ = true;
   registry_offset_ = page.next;
-  OnRegistryChanges(changes);
+  OnRegistryChanges(std::move(changes), "store");
 }
 
 void Gateway::Impl::OnRegistryChanges(
-    std::vector<EndpointRegistry::Change> changes) {
+    std::vector<EndpointRegistry::Change> changes, const char* source) {
   using Kind = EndpointRegistry::Change::Kind;
   std::erase_if(changes, [this](const auto& change) {
     return change.kind == Kind::kCold &&
@@ -424,7 +439,8 @@
             {{"endpoint", change.endpoint.ref.ToString()},
              {"service", change.endpoint.service},
              {"address", change.endpoint.address},
-             {"data_centre", change.endpoint.data_centre}});
+             {"data_centre", change.endpoint.data_centre},
+             {"source", source}});
   }
   ApplyEndpoints();
   RespondToLongPolls(true);
--- a/Source/gateway/peer_state.cc
+++ b/Source/gateway/peer_state.cc
@@ -144,6 +144,7 @@
   record.set_config_arriving(state.config_arriving);
   record.set_config_offset(state.config_offset);
   record.set_registry_offset(state.registry_offset);
+  record.set_removals_deferred(state.removals_deferred);
   record.set_has_endpoints(state.endpoints.has_value());
   if (state.endpoints) {
     for (const auto& endpoint : *state.endpoints | std::views::values) {
@@ -190,6 +191,7 @@
   state.config_arriving = record.config_arriving();
   state.config_offset = record.config_offset();
   state.registry_offset = record.registry_offset();
+  state.removals_deferred = record.removals_deferred();
   if (record.has_endpoints()) {
     state.endpoints.emplace();
     for (const auto& endpoint : record.endpoints()) {
--- a/Source/gateway/peer_state.h
+++ b/Source/gateway/peer_state.h
@@ -63,6 +63,8 @@
   std::uint64_t config_offset = 0;
   // Offset up to which the registry's log was read.
   std::uint64_t registry_offset = 0;
+  // Endpoints that are missing may still return, because the store was away.
+  bool removals_deferred = false;
   // Empty if the requesting gateway has the same endpoints.
   std::optional<std::map<EndpointId, EndpointInfo>> endpoints;
   std::vector<LeaseTable> tables;  // newer than the request's leases_end
--- a/Tests/Gateway/decisions_test.cc
+++ b/Tests/Gateway/decisions_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <numeric>
+#include <optional>
 #include <ostream>
 #include <random>
 
@@ -159,6 +160,75 @@
   BOOST_TEST(registry.endpoints().size() == 1U);
 }
 
+using ShownBy = EndpointRegistry::ShownBy;
+
+struct ShownCase {
+  const char* name;
+  bool calls_fail;  // before the store is shown again
+  std::optional<Ms> gap;
+  ShownBy by;
+  bool removed_at_once;
+};
+
+std::ostream& operator<<(std::ostream& out, const ShownCase& c) {
+  return out << c.name;
+}
+
+const ShownCase kShown[] = {
+    {"the store, in time", false, Ms(2'300), ShownBy::kStore, true},
+    {"the store, after a gap", false, Ms(4'000), ShownBy::kStore, false},
+    {"the store, for the first time", false, std::nullopt, ShownBy::kStore,
+     false},
+    {"another gateway, after a gap here alone", false, Ms(4'000),
+     ShownBy::kGateway, true},
+    {"another gateway, while the store fails here", true, Ms(500),
+     ShownBy::kGateway, true},
+    {"a gateway that is back itself, in time", false, Ms(2'300),
+     ShownBy::kGatewayInGrace, true},
+    {"a gateway that is back itself, after a gap", false, Ms(4'000),
+     ShownBy::kGatewayInGrace, false},
+    {"a gateway that is back itself, while the store fails here", true, Ms(500),
+     ShownBy::kGatewayInGrace, false},
+};
+
+// Guards against a removal that is delayed although the store was well, because
+// only this gateway, or the one that it follows, was cut off.
+BOOST_DATA_TEST_CASE(removals_are_deferred_only_after_an_outage,
+                     data::make(kShown), shown) {
+  EndpointRegistry registry;
+  registry.OnEntry("e", Endpoint("e"), kStart);
+  if (shown.calls_fail) registry.OnStoreLost();
+  registry.OnLogShown(shown.gap, shown.by, kStart);
+  registry.OnListing({}, kStart);
+  BOOST_TEST(registry.endpoints().empty() == shown.removed_at_once);
+  BOOST_TEST(registry.InGrace(kStart) == !shown.removed_at_once);
+  // Either way it is not passed on.
+  BOOST_TEST(registry.Listed().empty());
+}
+
+// Guards against an endpoint that is used although it has come and gone before
+// this gateway was back.
+BOOST_AUTO_TEST_CASE(an_endpoint_of_the_time_after_an_outage_has_not_lapsed) {
+  EndpointRegistry registry;
+  registry.OnLogShown(Ms(5'000), ShownBy::kStore, kStart);
+  registry.OnEntry("e", Endpoint("e"), kStart + Ms(1));
+  registry.OnEntry("e", std::nullopt, kStart + Ms(2));
+  BOOST_TEST(registry.endpoints().empty());
+}
+
+// Guards against an endpoint that stays in use for good, because its removal
+// was deferred until this gateway reaches the store, which only others do.
+BOOST_AUTO_TEST_CASE(another_gateway_confirms_a_deferred_removal) {
+  EndpointRegistry registry;
+  registry.OnEntry("e", Endpoint("e"), kStart);
+  registry.OnStoreLost();
+  registry.OnListing({}, kStart);
+  BOOST_TEST(!registry.endpoints().empty());
+  registry.OnLogShown(Ms(500), ShownBy::kGateway, kStart + Ms(100));
+  registry.ApplyDeferredRemovals(kStart + Ms(100));
+  BOOST_TEST(registry.endpoints().empty());
+}
+
 struct AddressCase {
   const char* name;
   const char* service;  // of the other entry at the address
