Skip registry records that another gateway's list already covers

Cause: after a cut the reader reads the log from its own position, although the lists of other gateways have taken it further. It applied the old records one by one: an endpoint that had left was added again, and its removal, the next record, was deferred as after an outage. registry_offset_ went back with it.

Change: records below the position of the list are skipped, of an id only the newest record of a page counts, a listing that was requested before a newer list arrived is dropped, and the position only rises (a listing lowers it if the log itself has gone back).

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -152,10 +152,12 @@
   // Logs and counts the entries of the configuration in force that cannot be
   // served.
   void ReportUnusableEntries();
-  void OnRegistryPage(const LogPage& page);
+  // sent: when the read of the page was sent.
+  void OnRegistryPage(const LogPage& page, BootTime sent);
   // The store has shown the end of the registry's log as of the proof. Call it
   // before the proof is kept.
   void OnRegistryShown(const LogProof& proof, EndpointRegistry::ShownBy by);
+  void SetRegistryOffset(std::uint64_t offset);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
   void OnEntryRejected(const EndpointId& id, const Error& error);
@@ -302,7 +304,8 @@
   // Offsets up to which the logs were read, by this gateway or its reader.
   std::uint64_t config_offset_ = 0;
   std::uint64_t registry_offset_ = 0;
-  BootTime last_turned_cold_;  // any endpoint that was known
+  BootTime registry_offset_at_;  // when it became known
+  BootTime last_turned_cold_;    // any endpoint that was known
   // False once a patch did not fit: other gateways then send whole texts.
   bool accepts_patches_ = true;
   std::map<RouterId, GatewayInstance> gateways_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -111,7 +111,7 @@
   };
   if (state.endpoints && state.registry_offset >= registry_offset_ &&
       of_known_era(state.registry_offset)) {
-    registry_offset_ = state.registry_offset;
+    SetRegistryOffset(state.registry_offset);
     OnRegistryChanges(
         registry_.OnListing(*state.endpoints, std::chrono::steady_clock::now()),
         "peer");
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -90,10 +90,11 @@
       [this](const LogPage& page, const Times& times) {
         OnConfigPage(page, times.as_of);
       });
-  registry_follower_ = follow(
-      {Log::kEndpointRegistry, Milliseconds(0), Milliseconds(0),
-       kRegistryInterval},
-      [this](const LogPage& page, const Times&) { OnRegistryPage(page); });
+  registry_follower_ = follow({Log::kEndpointRegistry, Milliseconds(0),
+                               Milliseconds(0), kRegistryInterval},
+                              [this](const LogPage& page, const Times& times) {
+                                OnRegistryPage(page, times.sent);
+                              });
   leases_follower_ =
       follow({Log::kLeases, kLeasesWait, Milliseconds(0), Milliseconds(0)},
              [this](const LogPage& page, const Times& times) {
@@ -393,35 +394,51 @@
                        by, std::chrono::steady_clock::now());
 }
 
-void Gateway::Impl::OnRegistryPage(const LogPage& page) {
+void Gateway::Impl::OnRegistryPage(const LogPage& page, BootTime sent) {
   const LoopWatch::Step step(loop_watch_, "registry");
-  const auto now = std::chrono::steady_clock::now();
-  std::vector<EndpointRegistry::Change> changes;
+  // Another gateway's list may have more than a page that was requested before
+  // it. Old records would bring back endpoints that have left since.
+  const bool is_behind = page.next < registry_offset_;
+  if (page.is_snapshot && is_behind && sent < registry_offset_at_) return;
   if (page.is_snapshot) {
-    std::map<EndpointId, EndpointInfo> entries;
     for (const UnreadableRecord& record : page.rejected) {
       OnEntryRejected(record.key,
                       {ResultCode::kLogRecordMalformed, record.detail});
     }
-    for (const KeyedRecord& record : page.records) {
-      if (auto entry = ParseEntry(record)) {
-        entries.insert_or_assign(record.key, std::move(*entry));
-      }
+  }
+  std::map<EndpointId, std::optional<EndpointInfo>> entries;
+  for (const KeyedRecord& record : page.records) {
+    if (!page.is_snapshot && record.offset < registry_offset_) continue;
+    entries.insert_or_assign(record.key, ParseEntry(record));
+  }
+  const auto now = std::chrono::steady_clock::now();
+  std::vector<EndpointRegistry::Change> changes;
+  if (page.is_snapshot) {
+    std::map<EndpointId, EndpointInfo> listed;
+    for (auto& [id, entry] : entries) {
+      if (entry) listed.emplace(id, std::move(*entry));
     }
-    changes = registry_.OnListing(entries, now);
+    changes = registry_.OnListing(listed, now);
   } else {
-    for (const KeyedRecord& record : page.records) {
-      if (auto change =
-              registry_.OnEntry(record.key, ParseEntry(record), now)) {
+    // Only the newest entry under an id counts: an endpoint that has come and
+    // gone within the page is not known in between.
+    for (auto& [id, entry] : entries) {
+      if (auto change = registry_.OnEntry(id, std::move(entry), now)) {
         changes.push_back(std::move(*change));
       }
     }
   }
   registry_read_ = true;
-  registry_offset_ = page.next;
+  // A listing may go back only if the store did, without stating an era.
+  if (page.is_snapshot || !is_behind) SetRegistryOffset(page.next);
   OnRegistryChanges(std::move(changes), "store");
 }
 
+void Gateway::Impl::SetRegistryOffset(std::uint64_t offset) {
+  registry_offset_ = offset;
+  registry_offset_at_ = BootClock::now();
+}
+
 void Gateway::Impl::OnRegistryChanges(
     std::vector<EndpointRegistry::Change> changes, const char* source) {
   using Kind = EndpointRegistry::Change::Kind;
--- a/Tests/UsersReturn/returning_gateway_test.cc
+++ b/Tests/UsersReturn/returning_gateway_test.cc
@@ -36,6 +36,14 @@
      Milliseconds(5'500), Milliseconds(3'500)},
     {"resets, hears from nobody", soak::LinkFault::kReset, false, true,
      Milliseconds(4'500), Milliseconds(2'500)},
+    {"silent, hears from others", soak::LinkFault::kSilent, true, true,
+     Milliseconds(5'500), Milliseconds(3'500)},
+    {"resets, hears from others", soak::LinkFault::kReset, true, true,
+     Milliseconds(4'500), Milliseconds(2'500)},
+    {"silent, added meanwhile", soak::LinkFault::kSilent, true, false,
+     Milliseconds(5'500), Milliseconds(3'500)},
+    {"resets, added meanwhile", soak::LinkFault::kReset, true, false,
+     Milliseconds(4'500), Milliseconds(2'500)},
 };
 
 // The reader of a data centre behind a link to the store, and a gateway that
@@ -82,7 +90,8 @@
 };
 
 // Guards against a gateway that, back from a cut, lists an endpoint again that
-// the others know to have left, from its own delay of removals.
+// the others know to have left: from its own delay of removals, or by reading
+// the entries of the time once more.
 BOOST_DATA_TEST_CASE_F(ReturnFixture,
                        a_gateway_back_from_a_cut_brings_back_no_endpoint,
                        data::make(kReturns), cut) {
