Do not take the loss of a reader for an outage of the store

What callers saw: requests at an endpoint that had left without reporting that it drains, from a gateway that was in touch but had lost the gateway through which it read the store (DRAIN).

Cause: after 0.7 s without a reader the follower counted the store as lost, and for 2.2 s after it had turned to the store itself it took missing endpoints for lapsed.

Change: only failed calls of the gateway itself, or a long time without the store's word, make it defer removals. What else depends on the store's reachability (renewals, the log line) stays as it was.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -114,6 +114,9 @@
   // one reads it, succeeded. A failure counts only if there was no response
   // after sent_at.
   void OnStoreResult(bool success, const std::string& detail, BootTime sent_at);
+  // The same for a call of this gateway itself. Only such a failure shows that
+  // the store may be away: the loss of a reader does not.
+  void OnStoreCall(bool success, const std::string& detail, BootTime sent_at);
   void ReadAllLogsNow();
   // The store was restored from an older copy: reads all logs again, and keeps
   // what the copy would undo. What else depends on records of the operator or
--- a/Source/gateway/gateway_leases.cc
+++ b/Source/gateway/gateway_leases.cc
@@ -137,7 +137,7 @@
       settings_.id, kJoinTimeToLive,
       [this, sent_at = BootClock::now()](ElectionResult result) {
         if (stopping_) return;
-        OnStoreResult(result.reached, "join", sent_at);
+        OnStoreCall(result.reached, "join", sent_at);
         if (!result.reached ||
             std::exchange(elected_, result.elected) == result.elected) {
           return;
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -66,7 +66,7 @@
         [this, log = options.log, handler = std::move(handler)](
             const LogPage& page, const StoreFollower::PageTimes& times) {
           log_failures_[log] = 0;
-          OnStoreResult(true, "", times.sent);
+          OnStoreCall(true, "", times.sent);
           if (log == Log::kEndpointRegistry) {
             OnRegistryShown({times.as_of, 0},
                             EndpointRegistry::ShownBy::kStore);
@@ -82,7 +82,7 @@
           if (++log_failures_[log] == kStoreLostFailures) {
             RespondToLongPolls(true);
           }
-          OnStoreResult(false, detail, sent);
+          OnStoreCall(false, detail, sent);
         });
   };
   config_follower_ = follow(
@@ -119,15 +119,22 @@
            [this] { gateways_follower_->ReadNow(); });
 }
 
+void Gateway::Impl::OnStoreCall(bool success, const std::string& detail,
+                                BootTime sent_at) {
+  const bool was_lost = store_lost_;
+  // First, as OnStoreResult() reads the logs again.
+  if (success) registry_.OnStoreRegained(std::chrono::steady_clock::now());
+  OnStoreResult(success, detail, sent_at);
+  if (!was_lost && store_lost_) registry_.OnStoreLost();
+}
+
 void Gateway::Impl::OnStoreResult(bool success, const std::string& detail,
                                   BootTime sent_at) {
   const BootTime now = BootClock::now();
-  const auto steady = std::chrono::steady_clock::now();
   if (success) {
     store_failures_ = 0;
     store_response_at_ = now;
     if (!std::exchange(store_lost_, false)) return;
-    registry_.OnStoreRegained(steady);
     LogInfo("store_regained", {});
     ReadAllLogsNow();
   } else {
@@ -140,7 +147,6 @@
     store_lost_ = true;
     // Gateways that follow this one have to find another reader.
     RespondToLongPolls(true);
-    registry_.OnStoreLost();
     LogEvent(
         EventLevel::kWarning, "store_lost",
         static_cast<unsigned>(ResultCode::kLogUnavailable),
--- a/Tests/UsersStale/frozen_fixture.h
+++ b/Tests/UsersStale/frozen_fixture.h
@@ -22,11 +22,18 @@
 // endpoint gets no new request, after this time.
 inline constexpr Milliseconds kBound{2'500};
 
-enum class Change { kConfiguration, kDraining };
+enum class Change { kConfiguration, kDraining, kRemoval };
 
 inline std::ostream& operator<<(std::ostream& out, Change change) {
-  return out << (change == Change::kConfiguration ? "configuration"
-                                                  : "draining");
+  switch (change) {
+    case Change::kConfiguration:
+      return out << "configuration";
+    case Change::kDraining:
+      return out << "draining";
+    case Change::kRemoval:
+      break;
+  }
+  return out << "removal";
 }
 
 // How long ago the store has shown that the state of a gateway is complete.
@@ -39,10 +46,13 @@
 }
 
 inline void Make(Change change, GatewayFixture& fixture) {
-  if (change == Change::kDraining) {
-    fixture.Drain(fixture.plain1);
-  } else {
-    fixture.PublishNewRoute();
+  switch (change) {
+    case Change::kConfiguration:
+      return fixture.PublishNewRoute();
+    case Change::kDraining:
+      return fixture.Drain(fixture.plain1);
+    case Change::kRemoval:
+      return fixture.store.Put("keyed.servers", fixture.plain1.id(), "");
   }
 }
 
--- a/Tests/UsersStale/frozen_gateway_test.cc
+++ b/Tests/UsersStale/frozen_gateway_test.cc
@@ -78,7 +78,7 @@
 // for a store that is away, although all others stand still.
 BOOST_DATA_TEST_CASE_F(
     FrozenFixture, a_change_arrives_beside_a_gateway_that_alone_lost_the_store,
-    data::make({Change::kConfiguration, Change::kDraining}) *
+    data::make({Change::kConfiguration, Change::kDraining, Change::kRemoval}) *
         data::make({StateAge::kNew, StateAge::kOld}),
     change, age) {
   BOOST_REQUIRE(AwaitLongPoll(age));
@@ -90,11 +90,29 @@
   BOOST_TEST(Applied(change));
 }
 
+// Guards against a gateway that takes the loss of its reader, after which the
+// next one does not take over, for an outage of the store, and therefore delays
+// removals when it reads the store itself.
+BOOST_DATA_TEST_CASE_F(FrozenFixture,
+                       a_change_arrives_after_the_loss_of_the_reader,
+                       data::make({Change::kConfiguration, Change::kDraining,
+                                   Change::kRemoval}) *
+                           data::make({StateAge::kNew, StateAge::kOld}),
+                       change, age) {
+  BOOST_REQUIRE(AwaitLongPoll(age));
+  reader.set_mode(PeerMode::kRejects);
+  elsewhere.set_mode(PeerMode::kFrozen);
+  Make(change, *this);
+  RunFor(loop, kBound);
+  BOOST_TEST(Applied(change));
+}
+
 // Guards against followers of a gateway that still answers them but hears
 // nothing from the store.
 BOOST_DATA_TEST_CASE_F(FleetFixture,
                        a_change_arrives_beside_a_reader_without_the_store,
-                       data::make({Change::kConfiguration, Change::kDraining}),
+                       data::make({Change::kConfiguration, Change::kDraining,
+                                   Change::kRemoval}),
                        change) {
   soak::LoopbackProxy link(loop, store_address);
   Other reader(*this, "gateway-2", "b", 0, link.address());
--- a/Tests/UsersStale/peer_stand_in.h
+++ b/Tests/UsersStale/peer_stand_in.h
@@ -3,6 +3,7 @@
 #define BALSAMHALL_TESTS_USERSSTALE_PEER_STAND_IN_H_
 
 #include <boost/asio/io_context.hpp>
+#include <map>
 #include <string>
 #include <utility>
 
@@ -20,7 +21,8 @@
   // Answers that it reads the store, but has heard nothing from it since the
   // mode was set: it has just turned to it, or stood still until now.
   kStale,
-  kFrozen,  // accepts connections and answers nothing
+  kFrozen,   // accepts connections and answers nothing
+  kRejects,  // answers 503 to every request, also to those that wait
 };
 
 // Runs on one loop, which must outlive it.
@@ -30,10 +32,11 @@
   PeerStandIn(boost::asio::io_context& loop, const std::string& reader)
       : loop_(loop),
         reader_(loop, reader, HttpClientOptions{}),
-        server_(loop, HttpServerOptions{},
-                [this](HttpRequest request, HttpServer::Respond respond) {
-                  OnRequest(std::move(request), std::move(respond));
-                }) {}
+        server_(
+            loop, HttpServerOptions{},
+            [this](HttpRequest request, const HttpServer::Respond& respond) {
+              OnRequest(std::move(request), respond);
+            }) {}
 
   std::string Listen() {
     return "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
@@ -41,6 +44,10 @@
   void set_mode(PeerMode mode) {
     mode_ = mode;
     mode_since_ = gateway::BootClock::now();
+    if (mode != PeerMode::kRejects) return;
+    for (const auto& [number, respond] : std::exchange(forwarded_, {})) {
+      respond({503, {}, ""});
+    }
   }
   // The gateway that it follows.
   void set_followed(RouterId id) { followed_ = std::move(id); }
@@ -50,7 +57,7 @@
   Milliseconds state_age() const { return state_age_; }
 
  private:
-  void OnRequest(HttpRequest request, HttpServer::Respond respond) {
+  void OnRequest(HttpRequest request, const HttpServer::Respond& respond) {
     if (request.target.starts_with("/follow/")) {
       ++long_polls_;
       const std::string age(
@@ -58,17 +65,21 @@
       state_age_ = Milliseconds(age.empty() ? 0 : std::stoi(age));
     }
     if (mode_ == PeerMode::kFrozen) return;
+    if (mode_ == PeerMode::kRejects) return respond({503, {}, ""});
     if (mode_ == PeerMode::kStale) return RespondStale(request, respond);
     if (mode_ == PeerMode::kFollows || mode_ == PeerMode::kNoStore) {
       gateway::PeerState state;
       if (mode_ == PeerMode::kFollows) state.reader = followed_;
       return respond({200, {}, gateway::SerializePeerState(state)});
     }
+    const int number = ++last_forwarded_;
+    forwarded_.emplace(number, respond);
     reader_.Send(std::move(request), Milliseconds(2'000),
-                 [this, respond = std::move(respond)](
-                     const HttpClient::Outcome& outcome) {
-                   if (mode_ == PeerMode::kReads && outcome.response) {
-                     respond(*outcome.response);
+                 [this, number](const HttpClient::Outcome& outcome) {
+                   const auto waiting = forwarded_.extract(number);
+                   if (!waiting.empty() && mode_ == PeerMode::kReads &&
+                       outcome.response) {
+                     waiting.mapped()(*outcome.response);
                    }
                  });
   }
@@ -95,6 +106,8 @@
   gateway::BootTime mode_since_;
   RouterId followed_;
   int long_polls_ = 0;
+  int last_forwarded_ = 0;
+  std::map<int, HttpServer::Respond> forwarded_;  // not answered yet
   Milliseconds state_age_{0};
 };
 
--- a/Tests/UsersStale/stale_source_test.cc
+++ b/Tests/UsersStale/stale_source_test.cc
@@ -54,7 +54,8 @@
 // to reads of other logs hide that one log is not answered.
 BOOST_DATA_TEST_CASE_F(FleetFixture,
                        a_change_arrives_beside_a_reader_without_one_log,
-                       data::make({Change::kConfiguration, Change::kDraining}),
+                       data::make({Change::kConfiguration, Change::kDraining,
+                                   Change::kRemoval}),
                        change) {
   PeerStandIn elsewhere(loop, peer_address);
   elsewhere.set_mode(PeerMode::kFrozen);
