Measure the gap without the store's word between pages, not proofs

A gateway that comes back reads several pages. Each but the last is no proof that its copy is complete, so each began the time anew in which removals are deferred, and an endpoint that came in one page and went in a later one was used for 2.2 s. The registry now keeps when the log was last shown, by any page.

A listing from behind the known position is dropped also if it was requested later, unless the store states no era: within an era the log does not go back.

Test: an_endpoint_of_the_time_after_an_outage_has_not_lapsed has two pages now.

--- a/Source/gateway/endpoint_registry.cc
+++ b/Source/gateway/endpoint_registry.cc
@@ -211,13 +211,15 @@
   for (auto& due : deferred_ | std::views::values) due = now + kRemovalGrace;
 }
 
-void EndpointRegistry::OnLogShown(std::optional<Milliseconds> gap, ShownBy by,
-                                  SteadyTime now) {
+void EndpointRegistry::OnLogShown(BootTime as_of, ShownBy by, SteadyTime now) {
+  // An older proof says nothing about the time since this one.
+  if (as_of <= shown_as_of_) return;
+  const BootTime before = std::exchange(shown_as_of_, as_of);
   if (by == ShownBy::kGateway) {
     store_lost_ = false;
     store_regained_at_.reset();
     for (auto& due : deferred_ | std::views::values) due = std::min(due, now);
-  } else if (!gap || *gap > kMaxGap) {
+  } else if (as_of - before > kMaxGap) {
     OnStoreLost();
     OnStoreRegained(now);
   }
--- a/Source/gateway/endpoint_registry.h
+++ b/Source/gateway/endpoint_registry.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "core/types.h"
+#include "gateway/boot_clock.h"
 #include "gateway/fleet_view.h"
 
 namespace balsamhall::gateway {
@@ -32,7 +33,8 @@
 // takes effect at once. A gateway that was cut off from the store by itself
 // learns from the others that the store was not away.
 //
-// Times are of any monotonic clock, the same in all calls. Not thread-safe.
+// Steady times are of any monotonic clock, the same in all calls. Not
+// thread-safe.
 class EndpointRegistry {
  public:
   // The operator and the endpoints write their records again within seconds of
@@ -79,10 +81,10 @@
     kGateway,         // one that knows that the store was not away
     kGatewayInGrace,  // one whose own grace period has not ended
   };
-  // gap: time between this proof and the one before; nullopt for the first one.
-  // Call it before the change that comes with the proof is applied. A gap above
-  // kMaxGap starts the grace period, unless another gateway has had none.
-  void OnLogShown(std::optional<Milliseconds> gap, ShownBy by, SteadyTime now);
+  // as_of: when the log ended no earlier than it was shown to end. Call it
+  // before what was shown is applied. If that was not shown for more than
+  // kMaxGap, the grace period starts, unless another gateway has had none.
+  void OnLogShown(BootTime as_of, ShownBy by, SteadyTime now);
   // Returns whether entries that are missing now may still return.
   bool InGrace(SteadyTime now) const;
 
@@ -154,6 +156,7 @@
   std::map<EndpointId, Removed> removed_;
   std::map<EndpointId, Held> held_;
   std::optional<SteadyTime> held_until_;
+  BootTime shown_as_of_;  // the clock's epoch: never
   bool store_lost_ = false;
   std::optional<SteadyTime> store_regained_at_;
   bool loaded_ = false;
--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -157,9 +157,6 @@
   void ReportUnusableEntries();
   // sent: when the read of the page was sent.
   void OnRegistryPage(const LogPage& page, BootTime sent);
-  // The store has shown the end of the registry's log as of the proof. Call it
-  // before the proof is kept.
-  void OnRegistryShown(const LogProof& proof, EndpointRegistry::ShownBy by);
   void SetRegistryOffset(std::uint64_t offset);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -102,8 +102,10 @@
   const LogProof registry =
       ProofFrom(state.registry_age.value_or(ProofAge{}), sent, now);
   using ShownBy = EndpointRegistry::ShownBy;
-  OnRegistryShown(registry, state.removals_deferred ? ShownBy::kGatewayInGrace
-                                                    : ShownBy::kGateway);
+  registry_.OnLogShown(
+      registry.as_of,
+      state.removals_deferred ? ShownBy::kGatewayInGrace : ShownBy::kGateway,
+      std::chrono::steady_clock::now());
   proofs_.Extend(Log::kEndpointRegistry, registry);
   // Positions of an era that the gateway does not claim to know are malformed.
   const auto of_known_era = [this](std::uint64_t position) {
--- a/Source/gateway/gateway_store.cc
+++ b/Source/gateway/gateway_store.cc
@@ -68,8 +68,8 @@
           log_failures_[log] = 0;
           OnStoreCall(true, "", times.sent);
           if (log == Log::kEndpointRegistry) {
-            OnRegistryShown({times.as_of, 0},
-                            EndpointRegistry::ShownBy::kStore);
+            registry_.OnLogShown(times.as_of, EndpointRegistry::ShownBy::kStore,
+                                 std::chrono::steady_clock::now());
           }
           // The answers that the handler gives to other gateways have both.
           if (page.next >= page.log_end) proofs_.Extend(log, {times.as_of, 0});
@@ -389,23 +389,14 @@
   return std::nullopt;
 }
 
-void Gateway::Impl::OnRegistryShown(const LogProof& proof,
-                                    EndpointRegistry::ShownBy by) {
-  const BootTime before = proofs_.Of(Log::kEndpointRegistry).as_of;
-  // An older proof says nothing about the time since this one.
-  if (proof.as_of <= before) return;
-  const auto gap =
-      std::chrono::duration_cast<Milliseconds>(proof.as_of - before);
-  registry_.OnLogShown(before == BootTime{} ? std::nullopt : std::optional(gap),
-                       by, std::chrono::steady_clock::now());
-}
-
 void Gateway::Impl::OnRegistryPage(const LogPage& page, BootTime sent) {
   const LoopWatch::Step step(loop_watch_, "registry");
   // Another gateway's list may have more than a page that was requested before
   // it. Old records would bring back endpoints that have left since.
   const bool is_behind = page.next < registry_offset_;
-  if (page.is_snapshot && is_behind && sent < registry_offset_at_) return;
+  // Only a store that states no era may have lost records since.
+  const bool is_late = sent < registry_offset_at_ || store_.era() > 0;
+  if (page.is_snapshot && is_behind && is_late) return;
   if (page.is_snapshot) {
     for (const UnreadableRecord& record : page.rejected) {
       OnEntryRejected(record.key,
@@ -435,7 +426,6 @@
     }
   }
   registry_read_ = true;
-  // A listing may go back only if the store did, without stating an era.
   if (page.is_snapshot || !is_behind) SetRegistryOffset(page.next);
   OnRegistryChanges(std::move(changes), "store");
 }
--- a/Tests/Gateway/decisions_test.cc
+++ b/Tests/Gateway/decisions_test.cc
@@ -164,8 +164,8 @@
 
 struct ShownCase {
   const char* name;
-  bool calls_fail;  // before the store is shown again
-  std::optional<Ms> gap;
+  bool calls_fail;        // before the store is shown again
+  std::optional<Ms> gap;  // since the log was shown before
   ShownBy by;
   bool removed_at_once;
 };
@@ -174,6 +174,8 @@
   return out << c.name;
 }
 
+const BootTime kShownBefore{std::chrono::hours(2)};
+
 const ShownCase kShown[] = {
     {"the store, in time", false, Ms(2'300), ShownBy::kStore, true},
     {"the store, after a gap", false, Ms(4'000), ShownBy::kStore, false},
@@ -197,8 +199,10 @@
                      data::make(kShown), shown) {
   EndpointRegistry registry;
   registry.OnEntry("e", Endpoint("e"), kStart);
+  if (shown.gap) registry.OnLogShown(kShownBefore, ShownBy::kGateway, kStart);
   if (shown.calls_fail) registry.OnStoreLost();
-  registry.OnLogShown(shown.gap, shown.by, kStart);
+  registry.OnLogShown(kShownBefore + shown.gap.value_or(Ms(0)), shown.by,
+                      kStart);
   registry.OnListing({}, kStart);
   BOOST_TEST(registry.endpoints().empty() == shown.removed_at_once);
   BOOST_TEST(registry.InGrace(kStart) == !shown.removed_at_once);
@@ -207,13 +211,17 @@
 }
 
 // Guards against an endpoint that is used although it has come and gone before
-// this gateway was back.
+// this gateway was back, within the pages that it reads then.
 BOOST_AUTO_TEST_CASE(an_endpoint_of_the_time_after_an_outage_has_not_lapsed) {
   EndpointRegistry registry;
-  registry.OnLogShown(Ms(5'000), ShownBy::kStore, kStart);
-  registry.OnEntry("e", Endpoint("e"), kStart + Ms(1));
-  registry.OnEntry("e", std::nullopt, kStart + Ms(2));
+  registry.OnLogShown(kShownBefore, ShownBy::kGateway, kStart);
+  const BootTime back = kShownBefore + Ms(5'000);
+  registry.OnLogShown(back, ShownBy::kStore, kStart + Ms(5'000));
+  registry.OnEntry("e", Endpoint("e"), kStart + Ms(5'001));
+  registry.OnLogShown(back + Ms(2), ShownBy::kStore, kStart + Ms(5'002));
+  registry.OnEntry("e", std::nullopt, kStart + Ms(5'002));
   BOOST_TEST(registry.endpoints().empty());
+  BOOST_TEST(registry.InGrace(kStart + Ms(5'002)));
 }
 
 // Guards against an endpoint that stays in use for good, because its removal
@@ -224,7 +232,7 @@
   registry.OnStoreLost();
   registry.OnListing({}, kStart);
   BOOST_TEST(!registry.endpoints().empty());
-  registry.OnLogShown(Ms(500), ShownBy::kGateway, kStart + Ms(100));
+  registry.OnLogShown(kShownBefore, ShownBy::kGateway, kStart + Ms(100));
   registry.ApplyDeferredRemovals(kStart + Ms(100));
   BOOST_TEST(registry.endpoints().empty());
 }
