--- a/Source/net/http_client.cc
+++ b/Source/net/http_client.cc
@@ -38,8 +38,8 @@
 constexpr Milliseconds kKeepAliveMargin{1000};
 
 // An answer without a length that ends while the request is being written waits
-// this long for the fate of the write: bytes that arrive at a closed connection
-// are answered by a reset, within a round trip.
+// this long for the result of the write: bytes that arrive at a closed
+// connection are answered by a reset, within a round trip.
 constexpr Milliseconds kWriteResultTimeout{250};
 
 constexpr const char* kNoMemory = "no memory left for the answer";
