--- a/Tests/StandIn/users_store.cc
+++ b/Tests/StandIn/users_store.cc
@@ -1,5 +1,6 @@
 #include "StandIn/users_store.h"
 
+#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core/detail/base64.hpp>
 
@@ -34,13 +35,21 @@
       server_(loop, HttpServerOptions{},
               [this](const HttpRequest& request,
                      const HttpServer::Respond& respond) {
-                OnRequest(request, silent_topics_, respond);
+                OnRequest(request, silent_topics_, SIZE_MAX, respond);
               }),
-      server_for_some_(loop, HttpServerOptions{},
-                       [this](const HttpRequest& request,
-                              const HttpServer::Respond& respond) {
-                         OnRequest(request, silent_topics_for_some_, respond);
-                       }) {}
+      server_for_some_(
+          loop, HttpServerOptions{},
+          [this](const HttpRequest& request,
+                 const HttpServer::Respond& respond) {
+            OnRequest(request, silent_topics_for_some_, page_records_for_some_,
+                      [this, respond](HttpResponse response) {
+                        if (page_delay_for_some_ == Milliseconds(0)) {
+                          return respond(std::move(response));
+                        }
+                        RunAfter(loop_, page_delay_for_some_,
+                                 [respond, response] { respond(response); });
+                      });
+          }) {}
 
 std::string UsersStore::Listen() {
   return "127.0.0.1:" + std::to_string(server_.Listen("127.0.0.1:0").value());
@@ -111,6 +120,7 @@
 
 void UsersStore::Read(const std::string& name, std::uint64_t from, int wait_ms,
                       const std::set<std::string>& silent,
+                      std::size_t page_records,
                       const HttpServer::Respond& respond) {
   if (fault_ == StoreFault::kSilent || silent.contains(name)) return;
   const Topic& topic = topics_[name];
@@ -123,14 +133,18 @@
   const std::uint64_t end = topic.records.size();
   if (from >= end && wait_ms > 0) {
     return RunAfter(
-        loop_, kPoll, [this, name, from, wait_ms, &silent, respond] {
+        loop_, kPoll,
+        [this, name, from, wait_ms, &silent, page_records, respond] {
           Read(name, from, wait_ms - static_cast<int>(kPoll.count()), silent,
-               respond);
+               page_records, respond);
         });
   }
   if (from < end) ++deliveries_[name];
   std::string body = BigEndian(end, 8) + BigEndian(topic.first, 8);
-  for (std::uint64_t i = from; i < end; ++i) {
+  const std::uint64_t page_end =
+      from < end ? from + std::min<std::uint64_t>(page_records, end - from)
+                 : end;
+  for (std::uint64_t i = from; i < page_end; ++i) {
     const Record& record = topic.records[i];
     const std::string content =
         BigEndian(record.key.size(), 1) + record.key + record.value;
@@ -141,6 +155,7 @@
 
 void UsersStore::OnRequest(const HttpRequest& request,
                            const std::set<std::string>& silent,
+                           std::size_t page_records,
                            const HttpServer::Respond& to_caller) {
   const HttpServer::Respond respond = [this, to_caller](HttpResponse response) {
     if (era_ > 0) {
@@ -163,7 +178,8 @@
   if (call == "log-newest") return respond(Newest(target.Text("topic")));
   if (call == "log-read") {
     return Read(target.Text("topic"), target.Number("from", 0),
-                static_cast<int>(target.Number("wait_ms", 0)), silent, respond);
+                static_cast<int>(target.Number("wait_ms", 0)), silent,
+                page_records, respond);
   }
   if (call == "log-join") {
     const json body = json::parse(request.body);
--- a/Tests/StandIn/users_store.h
+++ b/Tests/StandIn/users_store.h
@@ -38,6 +38,11 @@
   void set_silent_topics_for_some(std::set<std::string> topics) {
     silent_topics_for_some_ = std::move(topics);
   }
+  // Reads that arrive at that address get at most so many records, that late.
+  void set_pages_for_some(std::size_t records, Milliseconds delay) {
+    page_records_for_some_ = records;
+    page_delay_for_some_ = delay;
+  }
   // Appends as the operator or an endpoint would; an empty value drops the key.
   void Put(const std::string& topic, const std::string& key,
            const std::string& value);
@@ -80,13 +85,13 @@
   };
 
   void OnRequest(const HttpRequest& request,
-                 const std::set<std::string>& silent,
+                 const std::set<std::string>& silent, std::size_t page_records,
                  const HttpServer::Respond& respond);
   HttpResponse Append(const HttpRequest& request);
   HttpResponse Newest(const std::string& topic);
   // silent: topics whose reads that wait here get no answer either.
   void Read(const std::string& topic, std::uint64_t from, int wait_ms,
-            const std::set<std::string>& silent,
+            const std::set<std::string>& silent, std::size_t page_records,
             const HttpServer::Respond& respond);
 
   boost::asio::io_context& loop_;
@@ -104,6 +109,8 @@
   StoreFault fault_ = StoreFault::kNone;
   std::set<std::string> silent_topics_;
   std::set<std::string> silent_topics_for_some_;
+  std::size_t page_records_for_some_ = SIZE_MAX;
+  Milliseconds page_delay_for_some_{0};
 };
 
 }  // namespace balsamhall::stand_in
--- a/Tests/UsersReturn/returning_gateway_test.cc
+++ b/Tests/UsersReturn/returning_gateway_test.cc
@@ -122,6 +122,49 @@
   BOOST_TEST(Follows());
 }
 
+// Guards against a gateway that, back from a cut, uses an endpoint that it
+// knows to have left, because it reads the entries of the time of the cut once
+// more, page by page.
+BOOST_FIXTURE_TEST_CASE(old_pages_bring_back_no_endpoint, FleetFixture) {
+  soak::LoopbackProxy link(loop, store.ListenForSome());
+  Other returning(*this, "gateway-2", "b", 0, link.address());
+  BOOST_REQUIRE(returning.process.Start());
+  BOOST_REQUIRE(RunUntil([&] { return StateOf(returning).store_reachable; }));
+  HttpClient caller(loop, returning.settings.front_address,
+                    HttpClientOptions{});
+  UsersEndpoint added(loop, "i-9", false);
+  added.Listen();
+  int last = 0;
+  // Returns how many of ten requests the endpoint has run.
+  const auto runs = [&] {
+    const int before = added.total_runs();
+    for (int i = 0; i < 10; ++i) {
+      Await<HttpClient::Outcome>(loop, [&](auto done) {
+        caller.Send(Request("/read/x", "r" + std::to_string(++last)),
+                    Milliseconds(1'000), done);
+      });
+    }
+    return added.total_runs() - before;
+  };
+  link.Set(soak::LinkFault::kReset);
+  RunFor(loop, Milliseconds(700));
+  store.Put(kEndpointsTopic, added.id(), added.Entry("plain", "ready"));
+  BOOST_REQUIRE(RunUntil([&] { return runs() > 0; }));
+  for (int i = 0; i < 4; ++i) {
+    store.Put(kEndpointsTopic, plain2.id(), plain2.Entry("plain", "ready"));
+  }
+  store.Put(kEndpointsTopic, added.id(), "");
+  BOOST_REQUIRE(RunUntil([&] { return runs() == 0; }));
+  store.set_pages_for_some(1, Milliseconds(200));
+  link.Set(soak::LinkFault::kNone);
+  const auto end = std::chrono::steady_clock::now() + Milliseconds(4'000);
+  while (std::chrono::steady_clock::now() < end) {
+    BOOST_TEST(runs() == 0);
+    RunFor(loop, Milliseconds(20));
+  }
+  BOOST_TEST(StateOf(returning).store_reachable);
+}
+
 // Guards against followers that lose the endpoints whose entries lapsed while
 // the store was away, because their reader lists what the store shows.
 BOOST_FIXTURE_TEST_CASE(lapsed_endpoints_stay_in_use_at_followers,
