Keep lapsed endpoints at followers after a short outage

What callers saw: 503 from a follower in the second after a short outage of the store, for every service whose endpoints had lapsed, although they were alive.

Cause: a follower no longer took the loss of its reader for an outage, rightly, but had nothing else to tell one by than 3 s without the store's word. After a shorter outage it removed what its reader kept as lapsed.

Change: a follower whose reader says that it has lost the store reads the store once itself, at most once a second. If that fails too, the store is away, and removals are deferred. A gateway in touch is answered, so it defers nothing beside a reader that alone is cut off.

Test: lapsed_endpoints_stay_in_use_at_followers has eight cases (two faults, long and short, with and without a gateway that takes over first).

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -212,8 +212,8 @@
   // other without waiting for the answers, and reads the store itself if none
   // has a current one.
   void WatchState(BootTime now);
-  // Reads the configuration once, to see whether the store that another gateway
-  // cannot reach answers this one.
+  // Reads the configuration, once in a while, to see whether the store that
+  // another gateway cannot reach answers this one.
   void ProbeStore(BootTime now);
   Milliseconds TickInterval(BootTime now) const;
   std::vector<GatewayInstance> PeersToAsk() const;
@@ -340,9 +340,9 @@
     // A gateway that reads the store answered that it cannot reach it. That
     // says nothing about whether the store answers this one.
     bool store_away = false;
-    BootTime next_probe;
   };
   PeerSearch peer_search_;
+  BootTime next_store_probe_;
   std::set<RouterId> asked_peers_;  // that have not answered yet
   // The gateway that answered such a request last, and when it was asked.
   RouterId last_source_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -298,6 +298,11 @@
   if (!state || !state.value().store_reachable) {
     config_arriving_ = false;
     if (state) OnReaderNamed(state.value().reader);
+    // Whether the store is away, or the reader alone is cut off from it,
+    // decides about the endpoints that are missing afterwards.
+    if (state && !state.value().stopping && reader.id == reader_) {
+      ProbeStore(BootClock::now());
+    }
     OnReaderFailed(
         reader,
         {state.has_value(), state && !state.value().stopping, as_of,
--- a/Source/gateway/gateway_state_search.cc
+++ b/Source/gateway/gateway_state_search.cc
@@ -115,9 +115,16 @@
 }
 
 void Gateway::Impl::ProbeStore(BootTime now) {
-  if (now < peer_search_.next_probe) return;
-  peer_search_.next_probe = now + kProbeInterval;
-  config_follower_->ReadNow(ConfigReadOffset());
+  if (now < next_store_probe_) return;
+  next_store_probe_ = now + kProbeInterval;
+  // Together with the word of another gateway, which led to the probe, one
+  // failure is enough.
+  config_follower_->ReadNow(
+      ConfigReadOffset(), [this](const std::string& detail, BootTime sent) {
+        if (reads_store_ || sent < store_response_at_) return;
+        LogInfo("store_probe_failed", {{"detail", detail}});
+        registry_.OnStoreLost();
+      });
 }
 
 void Gateway::Impl::OnStoreAnswers() {
--- a/Source/gateway/store_follower.cc
+++ b/Source/gateway/store_follower.cc
@@ -49,16 +49,21 @@
     }
   }
 
-  void ReadNow(std::uint64_t min_offset) {
+  void ReadNow(std::uint64_t min_offset, FailureHandler on_failure) {
     const BootTime now = BootClock::now();
     if (now - last_read_now_ < kMinReadNowInterval) return;
     SkipTo(min_offset);
     if (!next_) return;
     last_read_now_ = now;
     store_.ReadFrom(options_.log, *next_, Milliseconds(0),
-                    [self = shared_from_this(), now](ReadResult result) {
-                      if (self->stopped_ || !result.page) return;
-                      self->HandlePage(*result.page, {now, now});
+                    [self = shared_from_this(), now,
+                     on_failure = std::move(on_failure)](ReadResult result) {
+                      if (self->stopped_) return;
+                      if (result.page) {
+                        self->HandlePage(*result.page, {now, now});
+                      } else if (on_failure) {
+                        on_failure(result.detail, now);
+                      }
                     });
   }
 
@@ -172,8 +177,9 @@
   impl_->Resume(min_offset);
 }
 
-void StoreFollower::ReadNow(std::uint64_t min_offset) {
-  impl_->ReadNow(min_offset);
+void StoreFollower::ReadNow(std::uint64_t min_offset,
+                            FailureHandler on_failure) {
+  impl_->ReadNow(min_offset, std::move(on_failure));
 }
 
 }  // namespace balsamhall::gateway
--- a/Source/gateway/store_follower.h
+++ b/Source/gateway/store_follower.h
@@ -57,8 +57,9 @@
   void Pause();
   // Reads from the last known offset, or a higher one, at once, in parallel
   // with a read in progress. No effect shortly after another ReadNow, nor
-  // without an offset, as before the first page.
-  void ReadNow(std::uint64_t min_offset = 0);
+  // without an offset, as before the first page. A failure is reported to
+  // on_failure, if there is one, and to nobody else.
+  void ReadNow(std::uint64_t min_offset = 0, FailureHandler on_failure = {});
 
  private:
   class Impl;
--- a/Tests/UsersReturn/returning_gateway_test.cc
+++ b/Tests/UsersReturn/returning_gateway_test.cc
@@ -49,8 +49,9 @@
 // The reader of a data centre behind a link to the store, and a gateway that
 // follows it.
 struct ReturnFixture : FleetFixture {
-  // hears_from_others: the other gateways answer the reader.
-  void Start(bool hears_from_others) {
+  // hears_from_others: the other gateways answer the reader. with_next: there
+  // is a gateway that takes over from the reader before the follower does.
+  void Start(bool hears_from_others, bool with_next = false) {
     if (!hears_from_others) {
       for (PeerStandIn* other : {&silent1, &silent3}) {
         other->set_mode(PeerMode::kFrozen);
@@ -60,6 +61,7 @@
     }
     BOOST_REQUIRE(reader.process.Start());
     BOOST_REQUIRE(RunUntil([&] { return StateOf(reader).store_reachable; }));
+    if (with_next) BOOST_REQUIRE(next.process.Start());
     // The reader does not read the list of gateways again soon after this.
     RunFor(loop, Milliseconds(2'600));
     BOOST_REQUIRE(follower.process.Start());
@@ -82,6 +84,7 @@
 
   soak::LoopbackProxy link{loop, store_address};
   Other reader{*this, "gateway-2", "b", 0, link.address()};
+  Other next{*this, "gateway-25", "b"};
   Other follower{*this, "gateway-3", "b"};
   PeerStandIn silent1{loop, peer_address};
   PeerStandIn silent3{loop, peer_address};
@@ -165,13 +168,31 @@
   BOOST_TEST(StateOf(returning).store_reachable);
 }
 
+struct OutageCase {
+  const char* name;
+  StoreFault fault;
+  Milliseconds length;
+};
+
+std::ostream& operator<<(std::ostream& out, const OutageCase& c) {
+  return out << c.name;
+}
+
+const OutageCase kOutages[] = {
+    {"silent, long", StoreFault::kSilent, Milliseconds(4'500)},
+    {"busy, long", StoreFault::kBusy, Milliseconds(4'500)},
+    {"silent, short", StoreFault::kSilent, Milliseconds(2'300)},
+    {"busy, short", StoreFault::kBusy, Milliseconds(1'500)},
+};
+
 // Guards against followers that lose the endpoints whose entries lapsed while
 // the store was away, because their reader lists what the store shows.
-BOOST_FIXTURE_TEST_CASE(lapsed_endpoints_stay_in_use_at_followers,
-                        ReturnFixture) {
-  Start(true);
-  store.set_fault(StoreFault::kSilent);
-  RunFor(loop, Milliseconds(4'500));
+BOOST_DATA_TEST_CASE_F(ReturnFixture, lapsed_endpoints_stay_in_use_at_followers,
+                       data::make(kOutages) * data::make({false, true}), outage,
+                       with_next) {
+  Start(true, with_next);
+  store.set_fault(outage.fault);
+  RunFor(loop, outage.length);
   for (const UsersEndpoint* endpoint : {&plain1, &plain2}) {
     store.Put(kEndpointsTopic, endpoint->id(), "");
   }
