Split the endpoint registry's parts into files of their own

The registered endpoints are in gateway_endpoints.cc now, the registry's tests in endpoint_registry_test.cc, unchanged; how far the registry's log is known is a class without I/O, KnownPosition.

No behaviour changes. late_listings_are_dropped covers the listing that drops, which had no test, and the codec's round trip has removals_deferred. Both need the new interface, so neither could run on the code before.

--- a/Source/gateway/gateway_impl.h
+++ b/Source/gateway/gateway_impl.h
@@ -1,8 +1,9 @@
 // Implementation of the gateway, private to the files that divide it by topic:
 // gateway.cc (start, stop and timers), gateway_store.cc (reads from the store),
-// gateway_leases.cc (leases on keys), gateway_peers.cc (communication between
-// gateways) and gateway_state_search.cc (the search for the state of others
-// while the own one is overdue). Includes Asio.
+// gateway_endpoints.cc (the registered endpoints), gateway_leases.cc (leases on
+// keys), gateway_peers.cc (communication between gateways) and
+// gateway_state_search.cc (the search for the state of others while the own one
+// is overdue). Includes Asio.
 #ifndef BALSAMHALL_GATEWAY_GATEWAY_IMPL_H_
 #define BALSAMHALL_GATEWAY_GATEWAY_IMPL_H_
 
@@ -24,6 +25,7 @@
 #include "gateway/endpoint_speeds.h"
 #include "gateway/forwarder.h"
 #include "gateway/gateway.h"
+#include "gateway/known_position.h"
 #include "gateway/lease_keeper.h"
 #include "gateway/loop_watch.h"
 #include "gateway/peer_state.h"
@@ -157,7 +159,6 @@
   void ReportUnusableEntries();
   // sent: when the read of the page was sent.
   void OnRegistryPage(const LogPage& page, BootTime sent);
-  void SetRegistryOffset(std::uint64_t offset);
   std::optional<EndpointInfo> ParseEntry(const KeyedRecord& record);
   // Logs an entry that names no endpoint to use, once until it does again.
   void OnEntryRejected(const EndpointId& id, const Error& error);
@@ -303,9 +304,8 @@
   Evacuations evacuations_;
   // Offsets up to which the logs were read, by this gateway or its reader.
   std::uint64_t config_offset_ = 0;
-  std::uint64_t registry_offset_ = 0;
-  BootTime registry_offset_at_;  // when it became known
-  BootTime last_turned_cold_;    // any endpoint that was known
+  KnownPosition registry_position_;
+  BootTime last_turned_cold_;  // any endpoint that was known
   // False once a patch did not fit: other gateways then send whole texts.
   bool accepts_patches_ = true;
   std::map<RouterId, GatewayInstance> gateways_;
--- a/Source/gateway/gateway_peers.cc
+++ b/Source/gateway/gateway_peers.cc
@@ -111,9 +111,9 @@
   const auto of_known_era = [this](std::uint64_t position) {
     return store_.era() == 0 || EraOf(position) <= store_.era();
   };
-  if (state.endpoints && state.registry_offset >= registry_offset_ &&
+  if (state.endpoints && state.registry_offset >= registry_position_.value() &&
       of_known_era(state.registry_offset)) {
-    SetRegistryOffset(state.registry_offset);
+    registry_position_.Set(state.registry_offset, now);
     OnRegistryChanges(
         registry_.OnListing(*state.endpoints, std::chrono::steady_clock::now()),
         "peer");
@@ -347,7 +347,7 @@
   config_follower_->Resume(ConfigReadOffset());
   // A gateway of an earlier version lists endpoints whose removal is deferred.
   if (registry_read_) {
-    registry_follower_->Resume(registry_offset_);
+    registry_follower_->Resume(registry_position_.value());
   } else {
     registry_follower_->Resume();
   }
@@ -417,7 +417,7 @@
   if (state.store_reachable && HasEvacuations()) {
     state.evacuations = evacuations_.known();
   }
-  state.registry_offset = registry_offset_;
+  state.registry_offset = registry_position_.value();
   state.removals_deferred = registry_.InGrace(std::chrono::steady_clock::now());
   // The digest does not show that an endpoint has turned cold once more.
   const bool turned_cold = last_turned_cold_ != BootTime{} &&
