Cover the other ways in which an old list can come back

an_old_state_brings_back_nothing (configuration, draining, removal; stand-in gateways repeat an old state and say that it is new) and an_older_table_is_ignored hold on as well.

--- a/Tests/Gateway/lease_keeper_test.cc
+++ b/Tests/Gateway/lease_keeper_test.cc
@@ -426,6 +426,19 @@
   BOOST_TEST(ActionsOf<GrantCall>(keeper.Tick(connected)).size() == 1U);
 }
 
+// Guards against a lease table that comes back with a gateway that has stood
+// still or was cut off.
+BOOST_AUTO_TEST_CASE(an_older_table_is_ignored) {
+  LeaseKeeper keeper = MakeKeeper(kOther, true);
+  LeaseTable older = MakeTable(false);
+  older.version = 4;
+  keeper.OnTable(older, kStart + Ms(1));
+  keeper.OnLogEnd(4, kStart + Ms(1));
+  BOOST_TEST(keeper.table().version == 5U);
+  BOOST_TEST(keeper.table().ranges[0].owner.ref.id == kOld.ref.id);
+  BOOST_TEST(keeper.log_end() == 5U);
+}
+
 // A new leader renewed leases on new connections, with the old fences.
 BOOST_AUTO_TEST_CASE(a_new_leader_raises_all_fences) {
   LeaseKeeper keeper = MakeKeeper(kOther, true);
--- a/Tests/UsersReturn/returning_gateway_test.cc
+++ b/Tests/UsersReturn/returning_gateway_test.cc
@@ -168,6 +168,66 @@
   BOOST_TEST(StateOf(returning).store_reachable);
 }
 
+// Guards against a gateway that starts beside one that is back from a cut, and
+// takes endpoints from it that have left.
+BOOST_FIXTURE_TEST_CASE(a_gateway_that_starts_takes_no_endpoint_that_has_left,
+                        ReturnFixture) {
+  Start(false);
+  link.Set(soak::LinkFault::kReset);
+  RunFor(loop, Milliseconds(2'500));
+  store.Put(kEndpointsTopic, plain1.id(), "");
+  RunFor(loop, Milliseconds(2'000));
+  link.Set(soak::LinkFault::kNone);
+  BOOST_REQUIRE(RunUntil([&] { return StateOf(reader).store_reachable; }));
+  Other starting(*this, "gateway-4", "b");
+  BOOST_REQUIRE(starting.process.Start());
+  BOOST_REQUIRE(
+      RunUntil([&] { return StateOf(starting).reader == "gateway-2"; }));
+  const int before = plain1.total_runs();
+  HttpClient front_of_it(loop, starting.settings.front_address,
+                         HttpClientOptions{});
+  int answered = 0;
+  for (int i = 0; i < 20; ++i) {
+    const auto outcome = Await<HttpClient::Outcome>(loop, [&](auto done) {
+      front_of_it.Send(Request("/read/x", "s" + std::to_string(i)),
+                       Milliseconds(1'000), done);
+    });
+    if (outcome.response && outcome.response->status == 200) ++answered;
+  }
+  BOOST_TEST(answered == 20);
+  BOOST_TEST(plain1.total_runs() == before);
+}
+
+// Guards against a gateway that believes an old state because it is said to be
+// new: of one that has stood still, or of the next reader.
+BOOST_DATA_TEST_CASE_F(FrozenFixture, an_old_state_brings_back_nothing,
+                       data::make({Change::kConfiguration, Change::kDraining,
+                                   Change::kRemoval}),
+                       change) {
+  HttpClient peer(loop, peer_address, HttpClientOptions{});
+  const auto old = Await<HttpClient::Outcome>(loop, [&](auto done) {
+    peer.Send({"GET", "/state/0/0/0", {}, "", 0}, Milliseconds(500), done);
+  });
+  BOOST_REQUIRE(old.response);
+  auto state = gateway::ParsePeerState(old.response->body);
+  BOOST_REQUIRE(state);
+  for (PeerStandIn* other : {&reader, &next, &elsewhere}) {
+    other->set_old_state(state.value());
+  }
+  Make(change, *this);
+  BOOST_REQUIRE(RunUntil([&] { return Applied(change); }));
+  const auto leases_end = StateOf(*observed).leases_end;
+  for (PeerStandIn* other : {&reader, &next, &elsewhere}) {
+    other->set_mode(PeerMode::kOld);
+  }
+  const auto end = std::chrono::steady_clock::now() + Milliseconds(2'500);
+  while (std::chrono::steady_clock::now() < end) {
+    BOOST_TEST(Applied(change));
+    RunFor(loop, Milliseconds(100));
+  }
+  BOOST_TEST(StateOf(*observed).leases_end >= leases_end);
+}
+
 struct OutageCase {
   const char* name;
   StoreFault fault;
--- a/Tests/UsersStale/peer_stand_in.h
+++ b/Tests/UsersStale/peer_stand_in.h
@@ -23,6 +23,7 @@
   kStale,
   kFrozen,   // accepts connections and answers nothing
   kRejects,  // answers 503 to every request, also to those that wait
+  kOld,      // answers with an old state, and says that it is new
 };
 
 // Runs on one loop, which must outlive it.
@@ -49,6 +50,12 @@
       respond({503, {}, ""});
     }
   }
+  // What it answers in the mode kOld.
+  void set_old_state(gateway::PeerState state) {
+    state.config_age = state.registry_age = gateway::ProofAge{};
+    state.leases_age = Milliseconds(0);
+    old_state_ = gateway::SerializePeerState(state);
+  }
   // The gateway that it follows.
   void set_followed(RouterId id) { followed_ = std::move(id); }
   // Long polls that have arrived.
@@ -66,6 +73,7 @@
     }
     if (mode_ == PeerMode::kFrozen) return;
     if (mode_ == PeerMode::kRejects) return respond({503, {}, ""});
+    if (mode_ == PeerMode::kOld) return respond({200, {}, old_state_});
     if (mode_ == PeerMode::kStale) return RespondStale(request, respond);
     if (mode_ == PeerMode::kFollows || mode_ == PeerMode::kNoStore) {
       gateway::PeerState state;
@@ -105,6 +113,7 @@
   PeerMode mode_ = PeerMode::kReads;
   gateway::BootTime mode_since_;
   RouterId followed_;
+  std::string old_state_;
   int long_polls_ = 0;
   int last_forwarded_ = 0;
   std::map<int, HttpServer::Respond> forwarded_;  // not answered yet
