Test unframed answers without an upload and after a whole request

A reset is seen by the read if there is nothing left to write, and a connection that is reset only after its orderly end had a whole answer, which is delivered.

--- a/Tests/Net/http_client_test.cc
+++ b/Tests/Net/http_client_test.cc
@@ -90,14 +90,19 @@
 constexpr std::size_t kLarge = 9'000'000;
 constexpr std::size_t kMedium = 200'000;
 constexpr std::size_t kSmall = 1'000;
+constexpr std::size_t kNone = 0;
 
 const UnframedCase kUnframed[] = {
     {"reset, 9 MB", Ending::kReset, kLarge, false},
     {"reset, 200 kB", Ending::kReset, kMedium, false},
     {"reset, 1 kB", Ending::kReset, kSmall, false},
+    {"reset, no upload", Ending::kReset, kNone, false},
     {"closed with unread bytes, 9 MB", Ending::kCloseUnread, kLarge, false},
     {"closed with unread bytes, 200 kB", Ending::kCloseUnread, kMedium, false},
     {"closed, then reset, 9 MB", Ending::kCloseThenReset, kLarge, false},
+    {"closed, then reset, after the whole request", Ending::kCloseThenReset,
+     kSmall, true},
+    {"closed in order, no upload", Ending::kClose, kNone, true},
     {"closed in order, 9 MB", Ending::kClose, kLarge, true},
     {"closed in order, 1 kB", Ending::kClose, kSmall, true},
     {"closed in order and not read on", Ending::kCloseAndHold, kLarge, true},
